--- /dev/null
+++ b/cloverrouter/decide.py
@@ -0,0 +1,898 @@
+"""All decisions of cloverrouter. The types it speaks stand in ``interface.py``; read that first.
+
+One `Balancer` serves one client proxy. It has no clock, socket or thread: the proxy calls
+`Balancer.handle` with the time and what happened, and carries out the actions it gets back.
+
+The ordinary path of a request: two ready endpoints are drawn and the one with the higher
+payoff / (1 + own in flight) gets the attempt; a failed attempt is repeated elsewhere after a
+decorrelated-jitter wait, inside the request's absolute deadline, if the retry budget, which
+served answers refill, has the tokens. Departures from it are named where they stand.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect, insort
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from itertools import accumulate
+from math import ceil
+from random import Random
+from zlib import crc32
+
+from cloverrouter.interface import (
+    Action,
+    AttemptEnded,
+    EndpointsListed,
+    EndpointState,
+    Event,
+    Fail,
+    Idempotency,
+    ListedEndpoint,
+    ListKind,
+    Log,
+    Outcome,
+    ProbeEnded,
+    Refuse,
+    RepeatScope,
+    RequestArrived,
+    RequestClass,
+    RequestGone,
+    Safety,
+    Send,
+    SetTimer,
+    Settings,
+    StreamStarted,
+    Subscribe,
+    TimerFired,
+)
+
+# The paper's own figures.
+BUDGET_CAPACITY = 100.0
+RETRY_RATIO = 0.1  # retries add at most this share of the served answers
+BACKOFF_BASE_MS = 100.0
+BACKOFF_CAP_MS = 30_000.0
+DEADLINE_MARGIN_MS = 50.0  # a retry closer than this to the deadline is expensive failure
+
+# Ours. Smoothing of what a server is seen to do: about the last ten answers count.
+GAIN = 0.2
+# A cold server is sent this part of the push it must not exceed, by the estimate of its capacity: with
+# the usual multiple of three just its warm share of what the others get. The rest is for machines
+# slower than their fleet's mean, and for bursts.
+COLD_MARGIN = 1 / 3
+RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
+# A server's answers may be slower than unhurried ones by this part of the room that the slow among
+# those leave up to the aim, and by these factors at least and at most.
+SLOWNESS_ROOM = 0.5
+SLOWNESS_LEAST, SLOWNESS_MOST = 1.25, 3.0
+# A server that owes answers gives none for a time that this many mean gaps between them fit in once
+# in e**5 times by chance.
+SILENT_GAPS = 5.0
+# Growth of a limit for each round of answers: by the time slowness shows, a surge has had some rounds.
+LIMIT_GROWTH = 0.25
+LIMIT_LEAST = 0.1  # of the time, then, one attempt is out there
+FIRST_LIMIT = 1.0  # own in flight allowed on a server nothing is known of: many proxies may start at once
+BASE_WINDOW = 25  # answers in one sample of a class's unhurried latency
+# From this price of a crossing on, a request, draws follow the water-filled shares of the zones alone;
+# below it they are mixed with even ones, in proportion.
+DEAR_CROSSING = 0.05
+# All attempts out together: what a proxy starts with is its part of this many for each unit of weight of
+# the servers, about what keeps a core busy; it never falls under this part of that.
+FLOW_START = 3.0
+FLOW_LEAST = 0.1
+# Beyond the start it grows slower than a server's limit: it stands for all of them, and all proxies grow.
+FLOW_GROWTH = LIMIT_GROWTH / 4
+# A proxy keeps to a window of the servers: of as many as give each this many proxies on average, enough
+# for their unequal traffic to even out; but not under the least, for two draws to mean something; and as
+# many as it meets each at least once in this many longest deadlines.
+COVER = 12.0
+WINDOW_LEAST = 3.0
+WINDOW_SPANS = 0.5
+# Of a class nothing is known of, when the request does not say either.
+DEFAULT_DEADLINE_MS = 1000.0
+
+NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
+
+
+def crowded(settings: Settings) -> bool:
+    """Do more proxies send to each server than can have an attempt each out there at all times?
+
+    Up to then what each server answers tells a proxy enough, and limits for each server bound the sum.
+    Past it the exceptions for crowds act: the pooled limit, limits of less than one, water-filled zones.
+    """
+    return settings.proxies > COVER
+
+
+class RetryBudget:
+    """The paper's token bucket: served answers earn, retries spend."""
+
+    def __init__(self) -> None:
+        self.tokens = BUDGET_CAPACITY
+
+    def earn(self) -> None:
+        self.tokens = min(BUDGET_CAPACITY, self.tokens + 1)
+
+    def spend(self) -> bool:
+        """Pay for one retry; False, and nothing spent, if the tokens do not reach."""
+        cost = 1 / RETRY_RATIO
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
+
+
+def backoff_ms(previous_ms: float, random: Random) -> float:
+    """Decorrelated jitter: each wait is drawn from the one before, not from the attempt number."""
+    return min(BACKOFF_CAP_MS, BACKOFF_BASE_MS + random.random() * (previous_ms * 3 - BACKOFF_BASE_MS))
+
+
+class ClassLatency:
+    """What a request class takes, whichever server answers: now, and when servers are unhurried."""
+
+    def __init__(self, cls: RequestClass) -> None:
+        self.cls = cls
+        self.mean_ms = cls.aim_ms / 4  # until seen
+        self.base_ms = cls.aim_ms / 4  # until a window is full, the running mean stands in
+        self.slow_ratio = 2.0  # what the slow among unhurried answers take, as a multiple of base_ms
+        self.seen = 0
+        self._window: list[float] = []
+
+    def add(self, latency_ms: float) -> None:
+        self.seen += 1
+        self.mean_ms += max(1 / self.seen, GAIN / 10) * (latency_ms - self.mean_ms)
+        self.mean_ms = max(self.mean_ms, 0.01)
+        if self.seen <= BASE_WINDOW:
+            self.base_ms = self.mean_ms
+        self._window.append(latency_ms)
+        if len(self._window) == BASE_WINDOW:
+            # The lowest window mean, each raised by its standard error: the lowest of many noisy
+            # means would lie far under the truth and throttle healthy servers.
+            mean = sum(self._window) / BASE_WINDOW
+            variance = sum((x - mean) ** 2 for x in self._window) / BASE_WINDOW
+            self.base_ms = max(0.01, min(self.base_ms * 1.002, mean + (variance / BASE_WINDOW) ** 0.5))
+            slow = sorted(self._window)[-2] / mean  # about the 95th percentile
+            self.slow_ratio += GAIN * (max(1.0, slow) - self.slow_ratio)
+            self._window.clear()
+
+    def slowness(self, latency_ms: float) -> float:
+        """Relative to what the class takes unhurried."""
+        return latency_ms / self.base_ms
+
+    def in_good_time_ms(self) -> float:
+        """Half-way between what the class takes unhurried and its aim: later, the aim is in danger."""
+        return (self.base_ms + max(self.base_ms, self.cls.aim_ms)) / 2
+
+    def target(self) -> float:
+        """The slowness up to which this class lets servers be fed."""
+        room = self.cls.aim_ms / (self.base_ms * self.slow_ratio) - 1
+        return min(SLOWNESS_MOST, max(SLOWNESS_LEAST, 1 + SLOWNESS_ROOM * room))
+
+
+class Endpoint:
+    """One server as this proxy has come to know it."""
+
+    def __init__(self, listed: ListedEndpoint, earned: float, slowness: float) -> None:
+        self.listed = listed
+        self.earned = earned  # smoothed share of worth that its answers earned
+        self.slowness = slowness  # smoothed latency, relative to what the class takes unhurried
+        self.strain = 1.0  # smoothed; above 1 it is fed more than it should be
+        self.in_flight = 0
+        self.limit = FIRST_LIMIT  # own in flight it may hold
+        self.latency_ms = 0.0  # smoothed, over all classes
+        self.waiting_since_ms = 0.0  # since then it owes answers and has given none
+        self.failures = 0  # in a row, a burst of them counted once
+        self.paused_until_ms = 0.0
+        self.judged_ms: float | None = None  # when an outcome last said something about it
+        self.cold_credit = 0.0  # work that it may be sent while cold
+        self.cold_credit_ms: float | None = None  # when that was reckoned
+        self.share = 1.0  # how readily it is drawn
+
+    @property
+    def weight(self) -> float:
+        return max(0.0, self.listed.weight)
+
+    @property
+    def payoff(self) -> float:
+        return self.earned / self.slowness
+
+    def has_room(self, now_ms: float) -> bool:
+        return (
+            self.in_flight < max(1.0, self.limit)
+            and now_ms >= self.paused_until_ms
+            and not self.silent(now_ms)
+        )
+
+    def silent(self, now_ms: float) -> bool:
+        """Danger: a hung or cut-off server swallows work until the first time-out tells. Owed answers
+        that stay out for several times the usual gap between answers tell sooner."""
+        if not self.in_flight or not self.latency_ms:
+            return False
+        return now_ms - self.waiting_since_ms > SILENT_GAPS * self.latency_ms / min(self.in_flight, 4)
+
+    def answered(self, now_ms: float, latency_ms: float) -> None:
+        self.waiting_since_ms = now_ms
+        self.failures = 0
+        self.latency_ms += (GAIN if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
+
+    def failed(self, now_ms: float, pause_ms: float, longest_ms: float) -> None:
+        """Danger: a server that turns work away or fails at once takes in, and spoils, more than its
+        share. It gets a pause, doubled each time, and then little to prove itself with."""
+        if now_ms >= self.paused_until_ms:
+            self.failures += 1
+            self.paused_until_ms = now_ms + min(longest_ms, pause_ms * 2.0 ** min(self.failures - 1, 16))
+            self.limit = max(min(1.0, self.limit), self.limit / 2)
+
+    def judge(self, now_ms: float, earned: float, slowness: float) -> None:
+        self.earned += GAIN * (earned - self.earned)
+        self.slowness += GAIN * (slowness - self.slowness)
+        self.judged_ms = now_ms
+
+    def adapt_limit(self, now_ms: float, latency_ms: float, strain: float, least: float) -> None:
+        """Danger: servers fed faster than they serve slow down, time out and jam. Grow a little a round
+        while answers come in good time, shrink in proportion to their slowness when they do not. Below
+        one, pause after each answer: one each from many proxies is a jam already."""
+        self.strain += GAIN * (strain - self.strain)
+        if self.strain > 1:
+            self.limit -= min(1.0, self.limit) * (1 - 1 / self.strain)
+        elif self.limit < 1:
+            self.limit = min(1.0, 2 * self.limit)
+        elif self.in_flight + 1 >= self.limit:
+            self.limit += LIMIT_GROWTH / self.limit
+        self.limit = max(least, self.limit)
+        if self.limit < 1:
+            rest_ms = latency_ms * (1 / self.limit - 1)
+            self.paused_until_ms = max(self.paused_until_ms, now_ms + rest_ms)
+
+    def forget(self, share: float, earned: float, slowness: float) -> None:
+        """Drift towards the others' mean. Danger: a server judged bad is never drawn, so nothing
+        would ever show that it is well again."""
+        self.earned += share * (earned - self.earned)
+        self.slowness += share * (slowness - self.slowness)
+
+    def warmth(self, now_ms: float, safety: Safety) -> float:
+        """The share of its full capacity that it surely has by now."""
+        if self.listed.started_ms is None or safety.cold_ms <= 0:
+            return 1.0
+        age = max(0.0, now_ms - self.listed.started_ms) / safety.cold_ms
+        return min(1.0, safety.cold_share + (1 - safety.cold_share) * age)
+
+
+class Membership:
+    """The list of servers, as far as this proxy has been told."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.endpoints: dict[str, Endpoint] = {}
+        self.ready: list[Endpoint] = []
+        self.rings: dict[
+            str, list[Endpoint]
+        ] = {}  # the ready ones of each zone, in the same order everywhere
+        self.shares: dict[str, float] = {}  # each zone's part of this proxy's requests
+        self.weight = 0.0  # of all that are ready
+
+    def update(self, event: EndpointsListed) -> None:
+        if event.kind is ListKind.FAILED:
+            return  # the old list stands
+        if event.kind is not ListKind.DELTA:
+            listed = {entry.name for entry in event.endpoints}
+            self.endpoints = {name: e for name, e in self.endpoints.items() if name in listed}
+        earned, slowness = self.means()
+        for entry in event.endpoints:
+            known = self.endpoints.get(entry.name)
+            if entry.state is EndpointState.GONE:
+                self.endpoints.pop(entry.name, None)
+            elif known is None:
+                self.endpoints[entry.name] = Endpoint(entry, earned, slowness)
+            else:
+                if known.listed.started_ms != entry.started_ms:  # a new process: the old one's record is void
+                    known.earned, known.slowness = earned, slowness
+                    known.cold_credit, known.cold_credit_ms = 0.0, None
+                known.listed = entry
+        self.ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
+        self._share_out()
+
+    def _share_out(self) -> None:
+        """How much of this zone's requests each zone gets.
+
+        Danger: where crossings cost, each proxy keeps to its own zone, and a zone with few servers jams
+        while others idle. Zones are taken to have the same traffic each: what a zone's servers can not
+        take of theirs goes to the zones with servers to spare, in proportion; no more needs to cross.
+        """
+        weights: dict[str, float] = {self.settings.zone: 0.0}
+        self.rings = {}
+        for e in sorted(self.ready, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name)):
+            weights[e.listed.zone] = weights.get(e.listed.zone, 0.0) + e.weight
+            self.rings.setdefault(e.listed.zone, []).append(e)
+        total, even, home = sum(weights.values()), 1 / len(weights), self.settings.zone
+        self.weight = total
+        self.shares = {}
+        if total <= 0:
+            return
+        spare = {zone: max(0.0, weight / total - even) for zone, weight in weights.items()}
+        at_home = min(1.0, weights[home] / total / even)
+        away = max(sum(spare.values()), 1e-9)
+        dear = min(1.0, self.settings.prices.cross_zone / DEAR_CROSSING) if crowded(self.settings) else 0.0
+        for zone, weight in weights.items():
+            filled = at_home if zone == home else (1 - at_home) * spare[zone] / away
+            self.shares[zone] = dear * filled + (1 - dear) * weight / total
+
+    def window(self, now_ms: float, size: float, place: float) -> list[Endpoint]:
+        """The servers with room among those this proxy keeps to: about `size` of them, zone by zone, from
+        `place` (0 to 1) of each zone's ring on; those without room are replaced by the next."""
+        found: list[Endpoint] = []
+        for zone, share in self.shares.items():
+            ring = self.rings.get(zone, [])
+            wanted = min(len(ring), ceil(size * share - 1e-9)) if share > 1e-9 else 0
+            start, weight, mine = int(place * len(ring)), 0.0, []
+            for i in range(len(ring) if wanted else 0):
+                e = ring[(start + i) % len(ring)]
+                if e.has_room(now_ms):
+                    mine.append(e)
+                    weight += e.weight
+                    if len(mine) == wanted:
+                        break
+            for e in mine:
+                e.share = share * (e.weight / weight if weight else 1 / len(mine))
+            found += mine
+        return found
+
+    def means(self) -> tuple[float, float]:
+        """Mean (earned, slowness) of the servers known: what a server not known is taken for."""
+        known = [e for e in self.endpoints.values() if e.judged_ms is not None]
+        if not known:
+            return 1.0, 1.0
+        return sum(e.earned for e in known) / len(known), sum(e.slowness for e in known) / len(known)
+
+
+class WorkRate:
+    """How much work this proxy sends to an average warm server, smoothed over `span_ms`."""
+
+    def __init__(self, span_ms: float) -> None:
+        self._span_ms = span_ms
+        self._sum = 0.0
+        self._at_ms = 0.0
+
+    def _decay(self, now_ms: float) -> None:
+        self._sum *= max(0.0, 1 - (now_ms - self._at_ms) / self._span_ms)
+        self._at_ms = now_ms
+
+    def add(self, now_ms: float, work_per_server: float) -> None:
+        self._decay(now_ms)
+        self._sum += work_per_server
+
+    def per_ms(self, now_ms: float) -> float:
+        self._decay(now_ms)
+        return self._sum / self._span_ms
+
+
+class Flow:
+    """How many attempts this proxy may have out over all servers together.
+
+    Danger: a limit a server can't be less than one, and with hundreds of proxies one each is a jam. This
+    limit is pooled over the servers and may be a fraction: below one, a pause after each attempt, as
+    long as to keep one out for that part of the time.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._proxies = settings.proxies
+        self._crowded = crowded(settings)
+        self.limit = 0.0  # until servers are known
+        self.start = self.least = 0.0
+        self.out = 0
+        self.strain = 1.0
+        self.closed_until_ms = 0.0
+        self.bound = False  # something found no room since the last attempt ended
+
+    def resize(self, weight: float) -> None:
+        """The servers known now weigh this much together."""
+        self.start = FLOW_START * weight / self._proxies
+        self.least = FLOW_LEAST * self.start
+        self.limit = max(self.limit, self.least) if self.limit else self.start
+
+    def has_room(self, now_ms: float) -> bool:
+        if not self._crowded:
+            return True
+        room = self.out < max(1.0, self.limit) and now_ms >= self.closed_until_ms
+        self.bound = self.bound or not room
+        return room
+
+    def ended(self, now_ms: float, usual_ms: float, strain: float | None) -> None:
+        bound, self.bound = self.bound, False
+        self.out -= 1
+        if strain is not None:
+            self.strain += GAIN * (strain - self.strain)
+            if self.strain > 1:
+                self.limit -= min(1.0, self.limit) * (1 - 1 / self.strain)
+            elif self.limit < self.start:
+                self.limit = min(self.start, 2 * self.limit)
+            elif bound:
+                self.limit += FLOW_GROWTH * min(self.limit, 1 / self.limit)
+            self.limit = max(self.limit, self.least)
+        if self.limit < 1:
+            self.closed_until_ms = now_ms + usual_ms * (1 / self.limit - 1)
+
+
+class Picker:
+    """The two-draw payoff bandit."""
+
+    def __init__(self, random: Random, safety: Safety) -> None:
+        self._random = random
+        self._safety = safety
+
+    def pick(self, now_ms: float, candidates: Sequence[Endpoint]) -> Endpoint | None:
+        """The better of two different servers drawn by their shares; the only one, if there is just one."""
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
+        one = self._draw(candidates, None)
+        other = self._draw(candidates, one)
+        return one if self.score(now_ms, one) >= self.score(now_ms, other) else other
+
+    def _draw(self, candidates: Sequence[Endpoint], but: Endpoint | None) -> Endpoint:
+        left = [e for e in candidates if e is not but]
+        upto = list(accumulate(e.share for e in left))
+        if upto[-1] <= 0:
+            return left[self._random.randrange(len(left))]
+        return left[min(bisect(upto, self._random.random() * upto[-1]), len(left) - 1)]
+
+    def score(self, now_ms: float, endpoint: Endpoint) -> float:
+        return endpoint.payoff * endpoint.warmth(now_ms, self._safety) / (1 + endpoint.in_flight)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    endpoint: Endpoint
+    sent_ms: float
+    outcome: Outcome | None = None  # None: still out
+
+    def may_have_run(self) -> bool:
+        return self.outcome not in NEVER_RAN
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    id: int
+    cls: RequestClass | None
+    arrived_ms: float
+    deadline_ms: float
+    work: float  # expected, in any unit that is the same for all requests
+    value: float  # worth per expected work
+    attempts: list[Attempt] = field(default_factory=list)
+    out: int = 0  # attempts still out
+    prev_wait_ms: float = BACKOFF_BASE_MS
+    repeat: bool = False  # marked so by its client
+    in_aim_until_ms: float = 0.0  # sent by then it is likely to be answered within its aim
+    timer: int | None = None  # token of its one pending timer
+    done: bool = False
+    streaming: bool = False
+
+    def repeatable(self) -> bool:
+        return self.cls is not None and self.cls.idempotency is not Idempotency.UNSAFE
+
+    def first_possible_run(self) -> Attempt | None:
+        return next((a for a in self.attempts if a.may_have_run()), None)
+
+    def repeats_end_ms(self) -> float:
+        """From when on the servers no longer drop a repeat of a keyed request that may have run."""
+        ran = self.first_possible_run()
+        if ran is None or self.cls is None or self.cls.idempotency is not Idempotency.KEYED:
+            return float("inf")
+        return ran.sent_ms + self.cls.repeat_window_ms
+
+
+def drops_repeats(cls: RequestClass | None, home: ListedEndpoint, there: ListedEndpoint) -> bool:
+    """Is `there` in the group of servers that drops repeats of what may have run at `home`?"""
+    if cls is None or cls.idempotency is not Idempotency.KEYED or cls.repeat_scope is RepeatScope.ALL:
+        return True
+    same_cell = cls.repeat_scope is RepeatScope.ZONE or home.cell == there.cell
+    return home.zone == there.zone and same_cell
+
+
+class Balancer:
+    """The decisions of one client proxy."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.budget = RetryBudget()
+        self.crowded = crowded(settings)
+        self.membership = Membership(settings)
+        self.picker = Picker(self.random, settings.safety)
+        self.latencies = {cls.name: ClassLatency(cls) for cls in settings.classes}
+        self.requests: dict[int, Request] = {}
+        self.held: list[tuple[float, int, Request]] = []  # the most valuable first, the newest of equals
+        self.held_count = 0
+        self.timers: dict[int, Callable[[], None]] = {}
+        self.last_token = 0
+        self.window_count = 0  # servers in the window last looked at
+        self.window_warm = 0  # the warm ones of these
+        self.peak_rate = 0.0  # highest work rate of a warm server, fading
+        self.peak_ms = 0.0
+        self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
+        self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
+        self.arrivals = WorkRate(WINDOW_SPANS * self.longest_deadline_ms)
+        number = settings.number
+        self.place = self.random.random() if number is None else number / settings.proxies
+        self.flow = Flow(settings)
+        self.flow_timer_ms = 0.0
+        self.forgot_ms: float | None = None
+        self.failed_calls = 0
+        self.now_ms = float("-inf")
+        self.actions: list[Action] = []
+        self.started = False
+
+    def handle(self, now_ms: float, events: Sequence[Event]) -> list[Action]:
+        """Take in what happened by `now_ms`; returns what to do now, in that order."""
+        if now_ms < self.now_ms:
+            raise ValueError(f"time ran backwards: {now_ms} after {self.now_ms}")
+        self.now_ms = now_ms
+        self.actions = []
+        if not self.started:
+            self.started = True
+            if self.settings.subscribe:
+                self.actions.append(Subscribe())
+        for event in events:
+            match event:
+                case AttemptEnded():
+                    self._on_attempt_ended(event)
+                case RequestArrived():
+                    self._on_request(event)
+                case TimerFired():
+                    self._on_timer(event)
+                case EndpointsListed():
+                    self._on_list(event)
+                case RequestGone():
+                    if event.request_id in self.requests:
+                        self._finish(self.requests[event.request_id])
+                case StreamStarted():
+                    self._on_stream(event)
+                case ProbeEnded():
+                    pass
+                case _:
+                    raise ValueError(f"not an event: {event!r}")
+        self._forget_old_judgements()
+        self._send_held()
+        return self.actions
+
+    # Discovery
+
+    def _on_list(self, event: EndpointsListed) -> None:
+        self.membership.update(event)
+        self.flow.resize(self.membership.weight)
+        if event.kind is ListKind.FAILED:
+            if self.failed_calls == 0:
+                self.actions.append(Log("discovery lost: asking again, the old list stands"))
+            self.failed_calls += 1
+            # Danger: an unsubscribed proxy counts as told of drains and starts it has not heard of.
+            # Ask well inside the time the rule allows, jittered so that the proxies don't ask as one.
+            longest = self.settings.safety.must_ask_ms / 4
+            wait = min(longest, BACKOFF_BASE_MS * 2.0 ** min(self.failed_calls, 16))
+            self._set_timer(wait * (0.5 + self.random.random() / 2), self._subscribe)
+        elif self.failed_calls:
+            self.failed_calls = 0
+            self.actions.append(Log("discovery back"))
+
+    def _subscribe(self) -> None:
+        self.actions.append(Subscribe())
+
+    # Requests
+
+    def _on_request(self, event: RequestArrived) -> None:
+        if event.request_id in self.requests:
+            raise ValueError(f"request {event.request_id} arrived twice")
+        usual = self.latencies.get(event.class_name)
+        cls = usual.cls if usual else None
+        work = event.work_hint_ms or (usual.mean_ms if usual else DEFAULT_DEADLINE_MS / 4)
+        worth = cls.worth if cls else 0.0
+        value = worth if self.settings.worth_by_work else worth / work
+        deadline_ms = event.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = self.now_ms + (cls.deadline_ms if cls else DEFAULT_DEADLINE_MS)
+        self.arrivals.add(self.now_ms, 1.0)
+        request = Request(event.request_id, cls, self.now_ms, deadline_ms, work, value)
+        request.repeat = event.repeat
+        self.requests[request.id] = request
+        self._dispatch(request)
+
+    def _dispatch(self, request: Request) -> None:
+        """Send the request's next attempt now, or hold it until a server may take it."""
+        if self._useless_ms(request) <= self.now_ms:
+            self._give_up(request)
+        elif self._try_send(request, self._roomy()) is None:
+            self._hold(request)
+
+    def _roomy(self) -> list[Endpoint]:
+        if not self.flow.has_room(self.now_ms):
+            return []
+        window = self.membership.window(self.now_ms, self._window_size(), self.place)
+        window = window or [e for e in self.membership.ready if e.has_room(self.now_ms)]
+        self.window_count = len(window)
+        self.window_warm = sum(e.warmth(self.now_ms, self.settings.safety) >= 1 for e in window)
+        return window
+
+    def _window_size(self) -> float:
+        settings = self.settings
+        cover = COVER * len(self.membership.ready) / settings.proxies
+        met = self.arrivals.per_ms(self.now_ms) * WINDOW_SPANS * self.longest_deadline_ms
+        return max(WINDOW_LEAST, cover, met)
+
+    def _try_send(self, request: Request, roomy: list[Endpoint]) -> Endpoint | None:
+        """Send to one of the servers with room, if the request may go to any of them."""
+        allowed = [e for e in roomy if self._may_send(request, e)]
+        if not allowed and roomy:  # the window has none for it: a repeat's group, or servers that are cold
+            allowed = [e for e in self.membership.ready if e.has_room(self.now_ms)]
+            allowed = [e for e in allowed if self._may_send(request, e)]
+        tried = [a.endpoint for a in request.attempts]
+        # A retry goes elsewhere; with nowhere else to go, back to where it failed.
+        allowed = [e for e in allowed if e not in tried] or allowed
+        if not self.crowded and self.settings.prices.cross_zone >= DEAR_CROSSING:
+            # Danger: crossings that buy nothing. Limits that are informed tell when the local are full.
+            allowed = [e for e in allowed if e.listed.zone == self.settings.zone] or allowed
+        endpoint = self.picker.pick(self.now_ms, allowed)
+        if endpoint is not None:
+            self._send(request, endpoint)
+        return endpoint
+
+    def _hold(self, request: Request) -> None:
+        """Danger: sent to full servers, work queues there until it is late, and jams them. It waits
+        here instead, the most valuable first, until it could no longer be served in time."""
+        usual_ms = self.latencies[request.cls.name].mean_ms if request.cls else DEFAULT_DEADLINE_MS / 4
+        wait_ms = self._useless_ms(request) - usual_ms - self.now_ms
+        if wait_ms <= 0:
+            self._give_up(request)
+            return
+        # A client's repeat has most likely waited for its aim already, the time before.
+        aim_ms = self._aim_ms(request.cls, request) if request.cls and not request.repeat else 0.0
+        request.in_aim_until_ms = request.arrived_ms + aim_ms - usual_ms
+        if self.crowded and request.in_aim_until_ms > self.now_ms:
+            wait_ms = min(wait_ms, request.in_aim_until_ms - self.now_ms)
+        self.held_count += 1
+        insort(self.held, (-request.value, -self.held_count, request))
+        request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up))
+
+    def _send_held(self) -> None:
+        """Walk the queue once; a walk costs little even when it is long and few servers have room."""
+        roomy = self._roomy() if self.held else []
+        if self.held and self.now_ms < self.flow.closed_until_ms != self.flow_timer_ms:
+            self.flow_timer_ms = self.flow.closed_until_ms
+            self._set_timer(self.flow_timer_ms - self.now_ms, lambda: None)
+        if not roomy:
+            return
+        still: list[tuple[float, int, Request]] = []
+        # Danger: in an overload those that have waited longest are served late, and make the next late.
+        late = [entry for entry in self.held if self.now_ms > entry[2].in_aim_until_ms]
+        hopeful = [entry for entry in self.held if self.now_ms <= entry[2].in_aim_until_ms]
+        full = False  # no server has room for a request that may go anywhere
+        for entry in hopeful + late:
+            request = entry[2]
+            if request.done or request.timer is None:
+                continue
+            anywhere = not request.attempts
+            endpoint = None if not roomy or (full and anywhere) else self._try_send(request, roomy)
+            if endpoint is None:
+                full = full or anywhere
+                still.append(entry)
+            elif not self.flow.has_room(self.now_ms):
+                roomy = []
+            elif endpoint in roomy and not endpoint.has_room(self.now_ms):
+                roomy.remove(endpoint)
+        still.sort(key=lambda entry: entry[:2])
+        self.held = still
+
+    def _useless_ms(self, request: Request) -> float:
+        """From when on an answer is worth nothing. Danger: work for nobody, on servers that are full."""
+        cls = request.cls
+        if cls is None or cls.late_worth or cls.streamed:
+            return request.deadline_ms
+        return min(request.deadline_ms, request.arrived_ms + self._aim_ms(cls, request))
+
+    @staticmethod
+    def _aim_ms(cls: RequestClass, request: Request) -> float:
+        return min(cls.deadline_ms, cls.aim_ms + cls.aim_stretch * request.work)
+
+    def _may_send(self, request: Request, endpoint: Endpoint) -> bool:
+        """The guard every send passes: may this request be sent to this endpoint now?"""
+        limits = self.settings.limits
+        if request.done or request.streaming or len(request.attempts) >= limits.max_attempts:
+            return False
+        if request.out and not limits.parallel_attempts:
+            return False
+        # Danger: new work on a server that drains or is gone.
+        if endpoint.listed.state is not EndpointState.READY:
+            return False
+        # Danger: an effect that happens twice.
+        ran = request.first_possible_run()
+        if ran is not None and not request.repeatable():
+            return False
+        if self.now_ms >= request.repeats_end_ms():
+            return False
+        if ran is not None and not drops_repeats(request.cls, ran.endpoint.listed, endpoint.listed):
+            return False
+        return self._cold_room(request, endpoint)
+
+    def _cold_room(self, request: Request, endpoint: Endpoint) -> bool:
+        """Danger: a server just started falls over under a warm server's share, and stays down."""
+        safety = self.settings.safety
+        warmth = endpoint.warmth(self.now_ms, safety)
+        if warmth >= 1:
+            return True
+        # What a warm server gets from here is this proxy's part of what a server can do; the other
+        # proxies keep to theirs in the same way. Credit for half a window at most: no bursts. It starts
+        # at a random part of one request: full, the proxies' first requests would add up to a push;
+        # empty, a server in few proxies' traffic would get nothing until it is warm.
+        rate = COLD_MARGIN * safety.push_multiple * warmth * self._warm_rate()
+        if endpoint.cold_credit_ms is None:
+            endpoint.cold_credit, endpoint.cold_credit_ms = self.random.random() * request.work, self.now_ms
+        most = max(rate * safety.push_window_ms / 2, request.work)
+        earned = rate * (self.now_ms - endpoint.cold_credit_ms)
+        endpoint.cold_credit = min(most, endpoint.cold_credit + earned)
+        endpoint.cold_credit_ms = self.now_ms
+        return endpoint.cold_credit >= request.work
+
+    def _warm_rate(self) -> float:
+        """Work a millisecond that a warm server gets from here, or lately got.
+
+        Danger: in a jam little is sent to warm servers, and by that measure the cold ones, which could
+        end it, get nothing. So the highest of late counts, fading over the time that warming takes.
+        Where none is warm and none was, all that arrives is taken to be what the servers are made for.
+        """
+        rate = self.work_rate.per_ms(self.now_ms)
+        if not rate and not self.peak_rate:
+            mean = sum(usual.mean_ms for usual in self.latencies.values()) / max(1, len(self.latencies))
+            return self.arrivals.per_ms(self.now_ms) * mean / max(1, self.window_count)
+        kept = 1 - (self.now_ms - self.peak_ms) / max(1.0, self.settings.safety.cold_ms)
+        self.peak_rate, self.peak_ms = max(rate, self.peak_rate * max(0.0, kept)), self.now_ms
+        return self.peak_rate
+
+    def _send(self, request: Request, endpoint: Endpoint) -> None:
+        safety = self.settings.safety
+        if endpoint.warmth(self.now_ms, safety) < 1:
+            endpoint.cold_credit -= request.work
+        else:
+            self.work_rate.add(self.now_ms, request.work / max(1, self.window_warm))
+        self._drop_timer(request)
+        request.attempts.append(Attempt(endpoint, self.now_ms))
+        request.out += 1
+        if not endpoint.in_flight:
+            endpoint.waiting_since_ms = self.now_ms
+        endpoint.in_flight += 1
+        self.flow.out += 1
+        self.actions.append(Send(request.id, endpoint.listed.name, self._useless_ms(request) - self.now_ms))
+
+    def _on_attempt_ended(self, event: AttemptEnded) -> None:
+        request = self.requests.get(event.request_id)
+        if request is None or not 0 <= event.attempt < len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.outcome is not None:
+            return
+        attempt.outcome = event.outcome
+        attempt.endpoint.in_flight -= 1
+        request.out -= 1
+        self._learn(request, attempt, event.latency_ms, self._reported_slowness(event.report))
+        if event.answered:
+            self._finish(request)
+        elif request.done:
+            self._drop_if_over(request)
+        elif not request.out and not request.streaming:
+            self._retry(request)
+
+    def _target(self) -> float:
+        """A server slows down for all classes alike: the one with the least room sets the target."""
+        seen = [usual.target() for usual in self.latencies.values() if usual.seen]
+        return min(seen, default=SLOWNESS_LEAST)
+
+    def _reported_slowness(self, report: tuple[float, ...] | None) -> float:
+        """How much waiting stretches the time of requests there, as the server tells it; 1 if unknown.
+        Danger: a proxy that starts in the middle of an overload takes its latencies for unhurried."""
+        fields = self.settings.report_fields
+        if report is None or "inflight" not in fields or "queue" not in fields:
+            return 1.0
+        held, waiting = report[fields.index("inflight")], report[fields.index("queue")]
+        return held / max(1.0, held - waiting) if waiting > 0 else 1.0
+
+    def _learn(self, request: Request, attempt: Attempt, latency_ms: float, reported: float) -> None:
+        outcome, cls = attempt.outcome, request.cls
+        if outcome is Outcome.OK:
+            self.budget.earn()
+        if outcome in NO_EVIDENCE or cls is None:
+            self.flow.ended(self.now_ms, latency_ms, None)
+            return
+        usual = self.latencies[cls.name]
+        good_ms = usual.in_good_time_ms()
+        slow = latency_ms / good_ms
+        self.flow.ended(
+            self.now_ms, usual.base_ms, slow if outcome in (Outcome.OK, Outcome.TIMEOUT) else None
+        )
+        if outcome is Outcome.OK:
+            slowness = usual.slowness(latency_ms)
+            usual.add(latency_ms)
+            on_time = latency_ms <= self._aim_ms(cls, request)
+            attempt.endpoint.judge(self.now_ms, 1.0 if on_time else cls.late_worth, slowness)
+            attempt.endpoint.answered(self.now_ms, latency_ms)
+        else:
+            # Danger: a server that fails fast looks quick. A failure never counts as faster than usual.
+            attempt.endpoint.judge(self.now_ms, 0.0, max(1.0, usual.slowness(latency_ms)))
+        if outcome in (Outcome.OK, Outcome.TIMEOUT):
+            attempt.endpoint.adapt_limit(
+                self.now_ms,
+                min(latency_ms, good_ms),
+                max(usual.slowness(latency_ms), reported) / self._target(),
+                LIMIT_LEAST if self.crowded else 1.0,
+            )
+        else:
+            attempt.endpoint.failed(self.now_ms, usual.base_ms, self.longest_deadline_ms / 2)
+
+    def _on_stream(self, event: StreamStarted) -> None:
+        request = self.requests.get(event.request_id)
+        if request is not None and not request.done:
+            request.streaming = True  # the attempt is the client's now; no deadline runs
+            self._drop_timer(request)
+
+    def _retry(self, request: Request) -> None:
+        more = len(request.attempts) < self.settings.limits.max_attempts
+        if not (more and request.repeatable() and self._sleep(request)):
+            self._give_up(request)
+
+    def _sleep(self, request: Request) -> bool:
+        """Pay, wait by the paper's jitter and try then. False if no time, or no token, is left."""
+        wait = backoff_ms(request.prev_wait_ms, self.random)
+        sleep = min(wait, self._useless_ms(request) - self.now_ms - DEADLINE_MARGIN_MS)
+        if self.now_ms + sleep >= request.repeats_end_ms():
+            return False
+        if sleep <= 0 or not self.budget.spend():
+            return False
+        request.prev_wait_ms = wait
+        request.timer = self._set_timer(sleep, lambda: self._wake(request, self._dispatch))
+        return True
+
+    def _wake(self, request: Request, then: Callable[[Request], None]) -> None:
+        request.timer = None
+        then(request)
+
+    def _give_up(self, request: Request) -> None:
+        """FAIL, or REFUSE, which tells the client that trying again is harmless, if no attempt ran."""
+        if request.first_possible_run() is None:
+            self.actions.append(Refuse(request.id))
+        else:
+            self.actions.append(Fail(request.id))
+        self._finish(request)
+
+    def _finish(self, request: Request) -> None:
+        request.done = True
+        self._drop_timer(request)
+        self._drop_if_over(request)
+
+    def _drop_if_over(self, request: Request) -> None:
+        if not request.out:
+            self.requests.pop(request.id, None)
+
+    # Time
+
+    def _set_timer(self, delay_ms: float, call: Callable[[], None]) -> int:
+        self.last_token += 1
+        self.timers[self.last_token] = call
+        self.actions.append(SetTimer(delay_ms, self.last_token))
+        return self.last_token
+
+    def _drop_timer(self, request: Request) -> None:
+        """The proxy can't unset a timer; when this one fires it is not known here, and ignored."""
+        if request.timer is not None:
+            del self.timers[request.timer]
+            request.timer = None
+
+    def _on_timer(self, event: TimerFired) -> None:
+        call = self.timers.pop(event.token, None)
+        if call is not None:
+            call()
+
+    def _forget_old_judgements(self) -> None:
+        """Judgements fade over four times the longest deadline: what they were about is over then."""
+        if self.forgot_ms is None:
+            self.forgot_ms = self.now_ms
+        share = (self.now_ms - self.forgot_ms) / (4 * self.longest_deadline_ms)
+        if share < 0.01:
+            return
+        self.forgot_ms = self.now_ms
+        earned, slowness = self.membership.means()
+        for endpoint in self.membership.ready:
+            endpoint.forget(min(1.0, share), earned, slowness)
--- /dev/null
+++ b/cloverrouter/interface.py
@@ -0,0 +1,272 @@
+"""What a client proxy and the balancer say to each other: settings, events, actions.
+
+Times are milliseconds on one monotonic clock of the proxy's choosing; spans end in ``_ms`` too.
+Ids (requests, endpoints, zones, cells) are opaque: they are compared and given back, never read.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Idempotency(Enum):
+    """Whether a request that may have run can be sent again."""
+
+    SAFE = "safe"  # always
+    KEYED = "keyed"  # within the group of endpoints and the time that drop its repeats
+    UNSAFE = "unsafe"  # never
+
+
+class RepeatScope(Enum):
+    """Which endpoints drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How an attempt, or a probe, ended."""
+
+    OK = "ok"
+    ERROR = "error"  # answered with an error; may have run
+    REJECTED = "rejected"  # turned away unseen
+    TIMEOUT = "timeout"  # may have run, may still run
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"  # connection lost under way; may have run
+    CANCELLED = "cancelled"  # called off by us; may have run
+    NOT_SENT = "not_sent"  # the proxy did not send it
+
+
+class EndpointState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What an `EndpointsListed` event carries."""
+
+    DELTA = "delta"  # changed endpoints only
+    FULL = "full"  # the whole list; what is not in it is gone
+    RESTORED = "restored"  # the whole list as last known before a restart, perhaps old
+    FAILED = "failed"  # a call to discovery failed or the subscription broke; nothing listed
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim_ms: float  # an answer within this earns the full worth
+    deadline_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.0  # share of the worth earned between aim and deadline
+    aim_stretch: float = 0.0  # more time on the aim, as a multiple of the request's work
+    idempotency: Idempotency = Idempotency.UNSAFE
+    repeat_scope: RepeatScope = RepeatScope.ALL
+    repeat_window_ms: float = 0.0
+    streamed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    max_attempts: int = 3
+    parallel_attempts: bool = False
+    cancel: bool = False
+    probes: bool = False
+    retry_after: bool = False
+    max_retry_after_ms: float = 0.0
+    connect_timeout_ms: float = 250.0
+
+
+@dataclass(frozen=True, slots=True)
+class Safety:
+    """The figures of the rules on drains, discovery and cold endpoints."""
+
+    cold_share: float = 1.0  # an endpoint starts with at least this share of its capacity
+    cold_ms: float = 0.0  # and is warm at the latest after this
+    push_multiple: float = 3.0  # sent more than this multiple of its capacity
+    push_window_ms: float = 1000.0  # for this long, a cold endpoint falls over
+    must_ask_ms: float = 10_000.0  # unsubscribed proxies must ask discovery this often
+
+
+@dataclass(frozen=True, slots=True)
+class Prices:
+    """Points taken off the result, as the site counts them."""
+
+    cross_zone: float = 0.0  # an attempt that crosses zones, per first try
+    probe: float = 0.0  # a probe, per first try
+    waste: float = 0.0  # work that served no answer, as a share of work offered
+    late_fail: float = 0.0  # worth that ended unserved after its aim
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    name: str
+    quota_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[RequestClass, ...]
+    zone: str = ""
+    proxies: int = 1  # client proxies that send to the same endpoints, this one included
+    number: int | None = None  # this proxy's, from 0; None: not known, and drawn
+    subscribe: bool = False  # discovery tells of changes only when asked
+    report_fields: tuple[str, ...] = ()  # what a load report holds, in order
+    worth_by_work: bool = False  # worth counts per unit of work, not per request
+    limits: Limits = field(default_factory=Limits)
+    safety: Safety = field(default_factory=Safety)
+    prices: Prices = field(default_factory=Prices)
+    tenants: tuple[Tenant, ...] = ()
+    over_quota_worth: float = 1.0  # share of its worth that a request over its tenant's quota keeps
+
+    def __post_init__(self) -> None:
+        for cls in self.classes:
+            if cls.deadline_ms <= 0 or cls.aim_ms <= 0:
+                raise ValueError(f"class {cls.name!r}: aim and deadline must be positive")
+        if len({cls.name for cls in self.classes}) != len(self.classes):
+            raise ValueError("two classes share a name")
+        if self.proxies < 1:
+            raise ValueError("proxies must be at least 1, this one included")
+        if self.number is not None and not 0 <= self.number < self.proxies:
+            raise ValueError("number must be from 0 to proxies - 1")
+        if self.limits.max_attempts < 1:
+            raise ValueError("limits.max_attempts must be at least 1")
+        if not 0 < self.safety.cold_share <= 1:
+            raise ValueError("safety.cold_share must be above 0 and at most 1")
+        if min(self.safety.push_multiple, self.safety.push_window_ms) <= 0:
+            raise ValueError("safety.push_multiple and safety.push_window_ms must be positive")
+
+
+@dataclass(frozen=True, slots=True)
+class ListedEndpoint:
+    """One entry of discovery's list."""
+
+    name: str
+    zone: str = ""
+    cell: int = 0
+    weight: float = 1.0
+    state: EndpointState = EndpointState.READY
+    started_ms: float | None = None  # None: a long time ago
+
+
+# Events: what the proxy tells.
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsListed:
+    kind: ListKind
+    endpoints: tuple[ListedEndpoint, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    request_id: int
+    class_name: str
+    deadline_ms: float | None = None  # on the clock, not a span; None: the class's own
+    tenant: str | None = None
+    key: str | None = None
+    work_hint_ms: float | None = None
+    repeat: bool = False  # marked by its client as a repeat
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    """The answer has begun; from here the attempt is the client's."""
+
+    request_id: int
+    attempt: int
+    latency_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    request_id: int
+    attempt: int
+    outcome: Outcome
+    latency_ms: float
+    answered: bool = False  # nothing more is owed to the client
+    report: tuple[float, ...] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestGone:
+    """The client left; nothing more is owed."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    endpoint: str
+    outcome: Outcome
+    latency_ms: float
+    report: tuple[float, ...] | None = None
+
+
+Event = (
+    EndpointsListed | RequestArrived | StreamStarted | AttemptEnded | RequestGone | TimerFired | ProbeEnded
+)
+
+
+# Actions: what the balancer answers.
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start the next attempt of a request; attempts count from 0 in the order of their sends."""
+
+    request_id: int
+    endpoint: str
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: rejected, and harmless to try again."""
+
+    request_id: int
+    retry_after_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed; whether it ran is not said."""
+
+    request_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    request_id: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay_ms: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask discovery for the changes missed, and for all that follow."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log
