Build the client proxy round the decision module

asyncio protocols with httptools on both sides; node.py drives the module, frontend.py, upstream.py and discovery.py do the I/O. read_settings moved to proxy/config.py, shared with the adapter.

--- a/cloverrouter/benchlink.py
+++ b/cloverrouter/benchlink.py
@@ -12,7 +12,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any, TextIO
+from typing import TextIO
 
 from cloverrouter.decide import Balancer
 from cloverrouter.interface import (
@@ -23,31 +23,23 @@
     EndpointState,
     Event,
     Fail,
-    Idempotency,
-    Limits,
     ListedEndpoint,
     ListKind,
     Log,
     Outcome,
-    Prices,
     Probe,
     ProbeEnded,
     Refuse,
-    RepeatScope,
     RequestArrived,
-    RequestClass,
     RequestGone,
-    Safety,
     Send,
     SetTimer,
     Settings,
     StreamStarted,
     Subscribe,
-    Tenant,
     TimerFired,
 )
-
-Json = dict[str, Any]
+from cloverrouter.proxy.config import Json, read_settings
 
 OUTCOMES = {
     100: Outcome.OK,
@@ -59,11 +51,6 @@
     306: Outcome.CANCELLED,
     307: Outcome.NOT_SENT,
 }
-IDEMPOTENCY = {
-    "retryable": Idempotency.SAFE,
-    "dedup": Idempotency.KEYED,
-    "fragile": Idempotency.UNSAFE,
-}
 LIST_KINDS = {
     "update": ListKind.DELTA,
     "replace": ListKind.FULL,
@@ -77,61 +64,6 @@
     """A line that is not what the wire allows."""
 
 
-# Settings
-
-
-def read_class(facts: Json) -> RequestClass:
-    return RequestClass(
-        name=facts["name"],
-        aim_ms=facts["aim_ms"],
-        deadline_ms=facts["deadline_ms"],
-        worth=facts.get("worth", 1.0),
-        late_worth=facts.get("late_worth", 0.0),
-        aim_stretch=facts.get("aim_stretch", 0.0),
-        idempotency=IDEMPOTENCY[facts["effect"]],
-        repeat_scope=RepeatScope(facts.get("group", "all")),
-        repeat_window_ms=facts.get("window_ms", 0.0),
-        streamed=facts.get("stream", False),
-    )
-
-
-def read_settings(facts: Json) -> Settings:
-    bounds, safety, prices = facts["bounds"], facts["safety"], facts.get("prices", {})
-    return Settings(
-        classes=tuple(read_class(c) for c in facts["categories"]),
-        zone=facts.get("zone", ""),
-        proxies=facts["balancers"],
-        number=facts.get("ordinal"),
-        subscribe=facts.get("discovery") == "subscribe",
-        report_fields=tuple(facts.get("reporting", {}).get("fields", ())),
-        worth_by_work=facts.get("counted_by") == "work",
-        limits=Limits(
-            max_attempts=bounds["max_attempts"],
-            parallel_attempts=bounds.get("parallel_tries", False),
-            cancel=bounds.get("cancel", False),
-            probes=bounds.get("probes", False),
-            retry_after=bounds.get("retry_after", False),
-            max_retry_after_ms=bounds.get("max_retry_after_ms", 0.0),
-            connect_timeout_ms=bounds.get("connect_timeout_ms", 250.0),
-        ),
-        safety=Safety(
-            cold_share=safety["cold_share"],
-            cold_ms=safety["cold_ms"],
-            push_multiple=safety["fall_multiple"],
-            push_window_ms=safety["fall_ms"],
-            must_ask_ms=safety["must_ask_in_ms"],
-        ),
-        prices=Prices(
-            cross_zone=prices.get("cross_zone", 0.0),
-            probe=prices.get("probe", 0.0),
-            waste=prices.get("waste", 0.0),
-            late_fail=prices.get("late_fail", 0.0),
-        ),
-        tenants=tuple(Tenant(t["name"], t["quota_per_s"]) for t in facts.get("projects", ())),
-        over_quota_worth=facts.get("over_share_worth", 1.0),
-    )
-
-
 # Events
 
 
--- /dev/null
+++ b/cloverrouter/proxy/__main__.py
@@ -0,0 +1,90 @@
+"""Starts one client proxy: configuration, wiring, signals, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import resource
+import signal
+import sys
+
+from cloverrouter.interface import ListKind
+from cloverrouter.proxy import config
+from cloverrouter.proxy.config import Config, HostList
+from cloverrouter.proxy.discovery import Watch
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.upstream import Upstream
+
+# After SIGTERM connections go on coming for a while: until then they are taken and served.
+STILL_ACCEPTING_S = 0.5
+RESERVED_SOCKETS = 24  # standard streams, the loop's own, the listener, discovery, and some air
+POLL_S = 0.02
+log = logging.getLogger("cloverrouter.proxy")
+
+
+async def serve(told: Config) -> int:
+    """Run until SIGTERM, or until the module fails; the exit code."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    crashes: list[BaseException] = []
+
+    def crash(error: BaseException) -> None:
+        crashes.append(error)
+        stop.set()
+
+    def on_list(found: HostList) -> None:
+        node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
+
+    sockets = min(told.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
+    upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
+    pushed = not told.settings.subscribe
+    watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed())
+    node = Node(told.settings, told.seed, upstream, watch.start, crash)
+    if told.known is not None:
+        watch.version = told.known.version
+        node.listed(ListKind.RESTORED, told.known)
+    if pushed or told.known is None:
+        watch.start()
+    frontend = Frontend(node, sockets // 2)
+    await frontend.listen(told.listen)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    log.info("%s serves at %s:%d", told.name, *told.listen)
+
+    await stop.wait()
+    if not crashes:
+        await drain(frontend, node)
+    watch.stop()
+    if crashes:
+        log.critical("the decisions crashed", exc_info=crashes[0])
+        return 1
+    return 0
+
+
+async def drain(frontend: Frontend, node: Node) -> None:
+    """Leave without losing what was taken. Every call has a deadline, so this ends."""
+    frontend.stopping = True
+    frontend.close_idle()
+    await asyncio.sleep(STILL_ACCEPTING_S)
+    frontend.close()
+    while node.busy or frontend.busy:
+        await asyncio.sleep(POLL_S)
+        frontend.close_idle()
+
+
+def main() -> int:
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    try:
+        told = config.load(os.environ)
+    except (KeyError, ValueError, OSError) as error:
+        log.critical("no usable configuration: %s: %s", type(error).__name__, error)
+        return 2
+    return asyncio.run(serve(told))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cloverrouter/proxy/config.py
@@ -0,0 +1,209 @@
+"""Environment and JSON to typed settings. The only place that knows the names of the configuration.
+
+``settings`` has the form of the simulator's first message, so the adapter reads it with this, too.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from ipaddress import ip_address
+from math import isfinite
+from pathlib import Path
+from typing import Any, TypeVar
+
+from cloverrouter.interface import (
+    EndpointState,
+    Idempotency,
+    Limits,
+    ListedEndpoint,
+    Prices,
+    RepeatScope,
+    RequestClass,
+    Safety,
+    Settings,
+    Tenant,
+)
+
+Json = dict[str, Any]
+Address = tuple[str, int]
+N = TypeVar("N", int, float)
+
+IDEMPOTENCY = {
+    "retryable": Idempotency.SAFE,
+    "dedup": Idempotency.KEYED,
+    "fragile": Idempotency.UNSAFE,
+}
+STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
+DEFAULT_IDLE_MS = 15_000.0
+DEFAULT_SOCKETS = 256
+
+
+# Settings
+
+
+def read_class(facts: Json) -> RequestClass:
+    return RequestClass(
+        name=facts["name"],
+        aim_ms=facts["aim_ms"],
+        deadline_ms=facts["deadline_ms"],
+        worth=facts.get("worth", 1.0),
+        late_worth=facts.get("late_worth", 0.0),
+        aim_stretch=facts.get("aim_stretch", 0.0),
+        idempotency=IDEMPOTENCY[facts["effect"]],
+        repeat_scope=RepeatScope(facts.get("group", "all")),
+        repeat_window_ms=facts.get("window_ms", 0.0),
+        streamed=facts.get("stream", False),
+    )
+
+
+def read_settings(facts: Json) -> Settings:
+    bounds, safety, prices = facts["bounds"], facts["safety"], facts.get("prices", {})
+    return Settings(
+        classes=tuple(read_class(c) for c in facts["categories"]),
+        zone=facts.get("zone", ""),
+        proxies=facts["balancers"],
+        number=facts.get("ordinal"),
+        subscribe=facts.get("discovery") == "subscribe",
+        report_fields=tuple(facts.get("reporting", {}).get("fields", ())),
+        worth_by_work=facts.get("counted_by") == "work",
+        limits=Limits(
+            max_attempts=bounds["max_attempts"],
+            parallel_attempts=bounds.get("parallel_tries", False),
+            cancel=bounds.get("cancel", False),
+            probes=bounds.get("probes", False),
+            retry_after=bounds.get("retry_after", False),
+            max_retry_after_ms=bounds.get("max_retry_after_ms", 0.0),
+            connect_timeout_ms=bounds.get("connect_timeout_ms", 250.0),
+        ),
+        safety=Safety(
+            cold_share=safety["cold_share"],
+            cold_ms=safety["cold_ms"],
+            push_multiple=safety["fall_multiple"],
+            push_window_ms=safety["fall_ms"],
+            must_ask_ms=safety["must_ask_in_ms"],
+        ),
+        prices=Prices(
+            cross_zone=prices.get("cross_zone", 0.0),
+            probe=prices.get("probe", 0.0),
+            waste=prices.get("waste", 0.0),
+            late_fail=prices.get("late_fail", 0.0),
+        ),
+        tenants=tuple(Tenant(t["name"], t["quota_per_s"]) for t in facts.get("projects", ())),
+        over_quota_worth=facts.get("over_share_worth", 1.0),
+    )
+
+
+# Discovery's lists
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    listed: ListedEndpoint
+    address: Address | None  # None: it has left
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    version: int
+    full: bool
+    entries: tuple[HostEntry, ...]
+
+
+class UnixClock:
+    """Turns discovery's Unix times into the module's monotonic ones.
+
+    The offset is taken once: the module takes a changed start for a new process.
+    """
+
+    def __init__(self) -> None:
+        self._offset_ms = time.monotonic() * 1000 - time.time() * 1000
+
+    def monotonic_ms(self, unix_ms: float) -> float | None:
+        return unix_ms + self._offset_ms if unix_ms > 0 else None
+
+
+def read_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    ip_address(host)  # there is no DNS: a name would block on look-ups that can't succeed
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"no port: {text!r}")
+    return host, int(port)
+
+
+def read_entry(entry: Json, clock: UnixClock) -> HostEntry:
+    state = STATES[entry["state"]]
+    listed = ListedEndpoint(
+        name=_text(entry["id"]),
+        zone=_text(entry.get("zone", "")),
+        cell=_number(int, entry.get("cell", 0)),
+        weight=_number(float, entry.get("weight", 1.0)),
+        state=state,
+        started_ms=clock.monotonic_ms(_number(float, entry.get("started_ms", 0))),
+    )
+    return HostEntry(listed, None if state is EndpointState.GONE else read_address(entry["addr"]))
+
+
+def read_list(message: Any, clock: UnixClock) -> HostList:
+    """Raises ValueError for anything but a whole list: half of one is never applied."""
+    try:
+        entries = tuple(read_entry(entry, clock) for entry in message["servers"])
+        return HostList(_number(int, message["version"]), message["full"] is True, entries)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a list of hosts: {error!r}") from error
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"not a text: {value!r}")
+    return value
+
+
+def _number(kind: type[N], value: Any) -> N:
+    """Python's JSON also reads NaN and Infinity, which would spread through every figure they touch."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value):
+        raise ValueError(f"not a number: {value!r}")
+    return kind(value)
+
+
+# The whole
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    conn_idle_ms: float
+    settings: Settings
+    known: HostList | None
+    clock: UnixClock
+
+
+def read_seed(value: Any) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        return zlib.crc32(str(value).encode())
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
+    told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    facts, clock = told["settings"], UnixClock()
+    return Config(
+        name=environ.get("PROXY_NAME") or told["name"],
+        listen=read_address(environ.get("PROXY_LISTEN") or told["listen"]),
+        discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
+        seed=read_seed(told.get("seed", 0)),
+        sockets=int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS)),
+        conn_idle_ms=facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS),
+        settings=read_settings(facts),
+        known=read_list(told["known"], clock) if told.get("known") else None,
+        clock=clock,
+    )
--- /dev/null
+++ b/cloverrouter/proxy/discovery.py
@@ -0,0 +1,139 @@
+"""The watch on discovery: calls in a row on one connection, each with a time-out of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+
+import httptools
+
+from cloverrouter.proxy.config import Address, HostList, UnixClock, read_list
+
+HOLD_MS = 20_000
+GRACE_S = 2.0  # over what a call may take: from then on discovery is taken to be silent
+CONNECT_S = 1.0
+MOST_BYTES = 4 * 1024 * 1024
+# An empty answer sooner than this is from an agent that does not wait: it is not to be asked in a loop.
+HASTY_S = 0.05
+PAUSE_S = 0.1  # well within the 200 ms after which a watch has ended
+PUSHED_FIRST_S, PUSHED_MOST_S = 0.1, 2.0
+log = logging.getLogger(__name__)
+
+
+class DiscoveryError(Exception):
+    """A call brought no list."""
+
+
+class _Reply:
+    """What httptools tells of one answer."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.complete = False
+        self.keep = False
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+        self.keep = self.parser.should_keep_alive()
+
+
+class Watch:
+    """Keeps a list up to date.
+
+    `on_list` gets each whole answer; `on_failure` is told of a failed call, after which nothing is
+    asked until the next `start`, unless the list is pushed: then the watch goes on by itself.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        clock: UnixClock,
+        pushed: bool,
+        on_list: Callable[[HostList], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._pushed = pushed
+        self._on_list = on_list
+        self._on_failure = on_failure
+        self._task: asyncio.Task[None] | None = None
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self.version: int | None = None
+        self.hold_ms = HOLD_MS
+        self.grace_s = GRACE_S
+
+    def start(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self._close()
+
+    async def _run(self) -> None:
+        backoff_s = PUSHED_FIRST_S
+        while True:
+            asked_s = asyncio.get_running_loop().time()
+            try:
+                found = await self._call()
+            except (OSError, EOFError, ValueError, DiscoveryError, httptools.HttpParserError) as error:
+                log.warning("discovery: %s: %s", type(error).__name__, error)
+                self._close()
+                if isinstance(error, ValueError):
+                    self.version = None  # what follows on it can't be trusted: ask for the whole list
+                self._on_failure()
+                if not self._pushed:
+                    return
+                await asyncio.sleep(backoff_s)
+                backoff_s = min(PUSHED_MOST_S, 2 * backoff_s)
+                continue
+            backoff_s = PUSHED_FIRST_S
+            self.version = found.version
+            self._on_list(found)
+            if not found.entries and asyncio.get_running_loop().time() - asked_s < HASTY_S:
+                await asyncio.sleep(PAUSE_S)
+
+    async def _call(self) -> HostList:
+        target, hold_s = "/v1/servers", 0.0
+        if self.version is not None:
+            target, hold_s = f"{target}?from={self.version}&hold_ms={self.hold_ms}", self.hold_ms / 1000
+        async with asyncio.timeout(hold_s + self.grace_s):
+            status, body = await self._get(target)
+        if status != 200:
+            raise DiscoveryError(f"answered {status}")
+        found = read_list(json.loads(body), self._clock)
+        if self.version is None and not found.full:
+            raise ValueError("changes came for the whole list")
+        return found
+
+    async def _get(self, target: str) -> tuple[int, bytes]:
+        if self._streams is None:
+            async with asyncio.timeout(CONNECT_S):
+                self._streams = await asyncio.open_connection(*self._address)
+        reader, writer = self._streams
+        host, port = self._address
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+        reply = _Reply()
+        while not reply.complete:
+            data = await reader.read(65536)
+            if not data:
+                raise EOFError("the answer ended early")
+            reply.parser.feed_data(data)
+            if len(reply.body) > MOST_BYTES:
+                raise DiscoveryError("the answer does not end")
+        if not reply.keep:
+            self._close()
+        return reply.parser.get_status_code(), bytes(reply.body)
+
+    def _close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
--- /dev/null
+++ b/cloverrouter/proxy/node.py
@@ -0,0 +1,324 @@
+"""The loop round `Balancer.handle`: what happened goes in as events, its actions are carried out.
+
+It decides nothing and knows no bytes: calls come from the frontend, attempts go to the upstream.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from math import isfinite
+
+from cloverrouter.decide import Balancer
+from cloverrouter.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    EndpointsListed,
+    EndpointState,
+    Event,
+    Fail,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    RequestArrived,
+    RequestGone,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    TimerFired,
+)
+from cloverrouter.proxy.config import Address, HostList
+from cloverrouter.proxy.messages import Answer, Call
+from cloverrouter.proxy.upstream import Exchange, Upstream
+
+# The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
+# this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
+MARGIN_MS = 3.0
+MOST_LAG_MS = 30.0
+LAG_EVERY_S = 0.05
+LAG_KEPT = 0.98  # of the longest lag, from one measurement to the next
+log = logging.getLogger(__name__)
+
+
+def read_report(text: bytes | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
+    """A host's load report in the order of `fields`; None if it is missing, or any of it is no figure."""
+    if text is None or not fields:
+        return None
+    pairs = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
+    try:
+        report = tuple(float(pairs[name.encode()]) for name in fields)
+    except (KeyError, ValueError):
+        return None
+    return report if all(isfinite(value) and value >= 0 for value in report) else None
+
+
+class LagMeter:
+    """How late the event loop comes to things: the longest of late, fading."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self.peak_ms = 0.0
+        self._due_s = 0.0
+        self._again()
+
+    def _again(self) -> None:
+        self._due_s = time.monotonic() + LAG_EVERY_S
+        self._loop.call_later(LAG_EVERY_S, self._measure)
+
+    def _measure(self) -> None:
+        late_ms = (time.monotonic() - self._due_s) * 1000
+        self.peak_ms = min(MOST_LAG_MS, max(late_ms, self.peak_ms * LAG_KEPT))
+        self._again()
+
+
+class Try:
+    """An attempt that is out."""
+
+    __slots__ = ("endpoint", "exchange", "number", "request", "sent_ms", "timer")
+
+    def __init__(self, request: Request, number: int, endpoint: str, sent_ms: float) -> None:
+        self.request = request
+        self.number = number
+        self.endpoint = endpoint
+        self.sent_ms = sent_ms
+        self.exchange: Exchange | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Request:
+    """A call until its answer is given and its attempts have ended."""
+
+    __slots__ = ("answered", "call", "deadline_ms", "id", "out", "tries")
+
+    def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
+        self.id = request_id
+        self.call = call
+        self.deadline_ms = deadline_ms
+        self.tries = 0
+        self.out: dict[int, Try] = {}
+        self.answered = False  # or nothing is owed any more
+
+
+class Node:
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        upstream: Upstream,
+        subscribe: Callable[[], None],
+        crash: Callable[[BaseException], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._balancer = Balancer(settings, seed)
+        self._upstream = upstream
+        self._subscribe = subscribe
+        self._crash = crash
+        self._addresses: dict[str, Address] = {}
+        self._requests: dict[int, Request] = {}
+        self._by_call: dict[Call, Request] = {}
+        self._last_id = 0
+        self._events: deque[Event] = deque()
+        self._handling = False
+        self._now_ms = 0.0
+        self._lag = LagMeter()
+
+    # The module's clock, events and actions
+
+    def now_ms(self) -> float:
+        self._now_ms = max(self._now_ms, time.monotonic() * 1000)
+        return self._now_ms
+
+    def tell(self, event: Event) -> None:
+        """Hand an event to the module and carry out what it says; what that raises comes after it."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                events = list(self._events)
+                self._events.clear()
+                for action in self._balancer.handle(self.now_ms(), events):
+                    self._carry_out(action)
+        except Exception as error:
+            # A module that has lost its way would go on with wrong decisions for every request.
+            self._crash(error)
+        finally:
+            self._handling = False
+
+    def _carry_out(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case SetTimer():
+                self._set_timer(action)
+            case Refuse():
+                request = self._take_unanswered(action.request_id)
+                if request is not None:
+                    request.call.refused(action.retry_after_ms)
+            case Fail():
+                request = self._take_unanswered(action.request_id)
+                if request is not None:
+                    request.call.failed()
+            case Cancel():
+                request = self._requests.get(action.request_id)
+                if request is not None and action.attempt in request.out:
+                    self._give_up(request.out[action.attempt], Outcome.CANCELLED)
+            case Probe():  # no site that we serve allows them
+                self.tell(ProbeEnded(action.endpoint, Outcome.NOT_SENT, 0.0))
+            case Subscribe():
+                self._subscribe()
+            case Log():
+                log.info("%s", action.text)
+
+    def _set_timer(self, action: SetTimer) -> None:
+        due_ms = self._now_ms + action.delay_ms
+
+        def fire() -> None:
+            # The loop's clock is coarser than ours: a timer is never seen to come early.
+            self._now_ms = max(self._now_ms, due_ms)
+            self.tell(TimerFired(action.token))
+
+        self._loop.call_later(max(0.0, action.delay_ms) / 1000, fire)
+
+    # Calls
+
+    def ready(self) -> bool:
+        return bool(self._addresses)
+
+    @property
+    def busy(self) -> bool:
+        return bool(self._by_call)
+
+    def arrived(self, call: Call) -> None:
+        self._last_id += 1
+        deadline_ms = None
+        if call.timeout_ms is not None:
+            margin_ms = MARGIN_MS + self._lag.peak_ms
+            deadline_ms = self.now_ms() + call.timeout_ms - margin_ms
+        request = Request(self._last_id, call, deadline_ms)
+        self._requests[request.id] = self._by_call[call] = request
+        self.tell(
+            RequestArrived(
+                request_id=request.id,
+                class_name=call.class_name,
+                deadline_ms=deadline_ms,
+                tenant=call.tenant,
+                key=call.key,
+                work_hint_ms=call.cost_ms,
+                repeat=call.repeat,
+            )
+        )
+
+    def gone(self, call: Call) -> None:
+        """The client has left: nobody wants what its attempts would bring."""
+        request = self._by_call.get(call)
+        if request is None:
+            return
+        self._take_unanswered(request.id)
+        self.tell(RequestGone(request.id))
+        for attempt in list(request.out.values()):
+            self._give_up(attempt, Outcome.CANCELLED)
+        self._drop_if_over(request)
+
+    def _take_unanswered(self, request_id: int) -> Request | None:
+        """The request, if its final answer is still owed; from here on it is not.
+
+        What is still on its way to a host must not go out after the answer.
+        """
+        request = self._requests.get(request_id)
+        if request is None or request.answered:
+            return None
+        request.answered = True
+        del self._by_call[request.call]
+        for attempt in list(request.out.values()):
+            if attempt.exchange is not None and not attempt.exchange.written:
+                self._give_up(attempt, Outcome.NOT_SENT)
+        self._drop_if_over(request)
+        return request
+
+    def _drop_if_over(self, request: Request) -> None:
+        if request.answered and not request.out:
+            self._requests.pop(request.id, None)
+
+    # Attempts
+
+    def _send(self, action: Send) -> None:
+        request = self._requests.get(action.request_id)
+        address = self._addresses.get(action.endpoint)
+        if request is None:
+            self.tell(AttemptEnded(action.request_id, 0, Outcome.NOT_SENT, 0.0, answered=True))
+            return
+        number, request.tries = request.tries, request.tries + 1
+        timeout_ms = action.timeout_ms or float("inf")
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms - self._now_ms)
+        if request.answered or address is None or timeout_ms <= 0:
+            self.tell(AttemptEnded(request.id, number, Outcome.NOT_SENT, 0.0, request.answered))
+            return
+        timeout_ms = min(timeout_ms, self._longest_ms())
+        attempt = request.out[number] = Try(request, number, action.endpoint, self._now_ms)
+        attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
+        attempt.exchange = self._upstream.send(
+            address, request.call, timeout_ms, lambda outcome, answer: self._ended(attempt, outcome, answer)
+        )
+
+    def _longest_ms(self) -> float:
+        return max((cls.deadline_ms for cls in self._settings.classes), default=60_000.0)
+
+    def _timed_out(self, attempt: Try) -> None:
+        self._give_up(attempt, Outcome.TIMEOUT)
+
+    def _give_up(self, attempt: Try, outcome: Outcome) -> None:
+        """Stop an attempt from this side. One whose last byte has not been written has never run."""
+        exchange = attempt.exchange
+        if exchange is not None:
+            if not exchange.written:
+                outcome = Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
+            exchange.abandon()
+        self._ended(attempt, outcome, None)
+
+    def _ended(self, attempt: Try, outcome: Outcome, answer: Answer | None) -> None:
+        request = attempt.request
+        if request.out.pop(attempt.number, None) is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        latency_ms = self.now_ms() - attempt.sent_ms
+        if answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
+            request.call.served(answer)
+        self._drop_if_over(request)
+        report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
+        self.tell(AttemptEnded(request.id, attempt.number, outcome, latency_ms, request.answered, report))
+
+    # Discovery
+
+    def listed(self, kind: ListKind, found: HostList) -> None:
+        if kind is not ListKind.DELTA:
+            self._addresses.clear()
+        for entry in found.entries:
+            name = entry.listed.name
+            if entry.listed.state is EndpointState.READY and entry.address is not None:
+                self._addresses[name] = entry.address
+            else:
+                self._addresses.pop(name, None)
+        self._upstream.keep_only(set(self._addresses.values()))
+        self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
+        # Danger: a send to a host that drains, still connecting now, could go out after the grace.
+        for request in list(self._requests.values()):
+            for attempt in list(request.out.values()):
+                unsent = attempt.exchange is not None and not attempt.exchange.written
+                if unsent and attempt.endpoint not in self._addresses:
+                    self._give_up(attempt, Outcome.NOT_SENT)
+
+    def discovery_failed(self) -> None:
+        self.tell(EndpointsListed(ListKind.FAILED))
