--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -12,7 +12,20 @@
 
 import pytest
 
-from tests.sockets import Client, Discovery, Host, Proxy, Seen, answer_ok, never, ok, raw, reset, running
+from tests.sockets import (
+    SETTINGS,
+    Client,
+    Discovery,
+    Host,
+    Proxy,
+    Seen,
+    answer_ok,
+    never,
+    ok,
+    raw,
+    reset,
+    running,
+)
 
 Scene = Callable[[], Coroutine[Any, Any, None]]
 
@@ -199,9 +212,11 @@
 def test_client_that_leaves_ends_its_attempts() -> None:
     async def scene() -> None:
         discovery, hosts = await fleet(never)
-        async with running(discovery, hosts) as proxy:
+        # With so much time, only the client's leaving can end the attempt.
+        patient = {**SETTINGS["categories"][0], "aim_ms": 120_000, "deadline_ms": 120_000}
+        async with running(discovery, hosts, settings={"categories": [patient]}) as proxy:
             client = await proxy.client()
-            client.send("/keyed")
+            client.send("/keyed", timeout_ms=120_000)
             await hosts[0].wait(lambda: len(hosts[0].seen) == 1)
             client.writer.close()
             await hosts[0].wait(lambda: not hosts[0].open)
@@ -231,6 +246,7 @@
         413,
     ),
     "endless header": (b"GET /unsafe HTTP/1.1\r\nA: " + b"b" * 100_000, 431),
+    "large head": (b"GET /unsafe HTTP/1.1\r\nX-Request-ID: 1\r\nA: " + b"b" * 20_000 + b"\r\n\r\n", 431),
     "long head": (b"GET /unsafe HTTP/1.1\r\n" + b"A: b\r\n" * 20_000, 431),
 }
 
