Bound what a full or leaving client proxy holds on to

Found by reading: with all client connections busy the limit on descriptors was not kept (frontend.py, add); a client that never finishes its request held up the end after SIGTERM for 10 s (__main__.py, drain); a trailer could change X-Request-ID (frontend.py, on_header). New connections beyond the limit are now refused at once, the end waits 0.5 s for bytes once nothing is owed, trailers are ignored.

--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -21,6 +21,7 @@
 STILL_ACCEPTING_S = 0.5
 RESERVED_SOCKETS = 24  # standard streams, the loop's own, the listener, discovery, and some air
 POLL_S = 0.02
+LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
 log = logging.getLogger("cloverrouter.proxy")
 
 
@@ -69,7 +70,12 @@
     frontend.close_idle()
     await asyncio.sleep(STILL_ACCEPTING_S)
     frontend.close()
-    while node.busy or frontend.busy:
+    loop = asyncio.get_running_loop()
+    owed_s = loop.time()
+    # Danger: a client that neither finishes its request nor reads would keep the program from ending.
+    while node.busy or (frontend.busy and loop.time() < owed_s + LAST_BYTES_S):
+        if node.busy:
+            owed_s = loop.time()
         await asyncio.sleep(POLL_S)
         frontend.close_idle()
 
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -107,6 +107,7 @@
         self._error: int | None = None  # what the client is owed after its open calls; nothing more is read
         self._begun_s: float | None = None  # when the first byte of an unfinished request came
         self.idle_since = frontend.loop.time()
+        self.surplus = False  # beyond the limit on sockets: its first request is refused, then it closes
         self._reset()
 
     def _reset(self) -> None:
@@ -157,6 +158,8 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            return  # danger: a trailer behind the body would change what the head has said
         self._head_size += len(name) + len(value)
         if self._head_size > MAX_HEAD:
             self._fault(431)
@@ -202,6 +205,9 @@
                 self.answer(call, 200 if self._frontend.handler.ready() else 503, b"", b"")
             elif not call.request_id:
                 self.answer(call, 400, b"", b"")
+            elif self.surplus:
+                call.keep_alive = False
+                call.refused(0.0)
             else:
                 self._frontend.handler.arrived(call)
         if self._open is None and self._error is not None and self._transport is not None:
@@ -271,12 +277,15 @@
         return host, port
 
     def add(self, connection: ClientConnection) -> None:
-        self._connections.add(connection)
-        if len(self._connections) > self._most_open:
-            # Danger: silent connections use up the descriptors that hosts need. The longest idle goes.
+        # Danger: connections use up the descriptors that hosts need. The longest idle makes room; where
+        # all are busy, the new one can't be served, and not reading it would lose what it has sent.
+        if len(self._connections) >= self._most_open:
             idle = [c for c in self._connections if not c.busy and not c.unread]
             if idle:
                 min(idle, key=lambda c: c.idle_since).close_idle()
+            else:
+                connection.surplus = True
+        self._connections.add(connection)
 
     def remove(self, connection: ClientConnection) -> None:
         self._connections.discard(connection)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -313,6 +313,45 @@
     asyncio.run(scene())
 
 
+def test_connections_beyond_the_limit_are_refused_at_once() -> None:
+    async def scene() -> None:
+        discovery, hosts = await fleet(never)
+        # With so much time, all that are taken stay open: there is no idle connection to make room.
+        patient = {**SETTINGS["categories"][0], "aim_ms": 120_000, "deadline_ms": 120_000}
+        async with running(discovery, hosts, settings={"categories": [patient]}) as proxy:
+            beyond = 0
+            for _ in range(400):
+                client = await proxy.client()
+                client.send("/keyed", timeout_ms=120_000)
+                reading = asyncio.create_task(client.read())
+                await asyncio.wait([reading], timeout=0.01)
+                if reading.done() and reading.exception() is None:
+                    got = reading.result()
+                    assert (got.status, got.headers.get("connection")) == (503, "close")
+                    beyond += 1
+                    if beyond == 3:
+                        break
+            assert beyond == 3
+
+    asyncio.run(scene())
+
+
+def test_trailer_changes_nothing() -> None:
+    async def scene() -> None:
+        discovery, hosts = await fleet(answer_ok)
+        async with running(discovery, hosts) as proxy:
+            client = await proxy.client()
+            client.writer.write(
+                b"POST /unsafe HTTP/1.1\r\nX-Request-ID: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"2\r\nab\r\n0\r\nX-Request-ID: other\r\n\r\n"
+            )
+            assert (await client.read()).status == 200
+        message = hosts[0].seen[0].message
+        assert (message.headers["x-request-id"], message.body) == ("mine", b"ab")
+
+    asyncio.run(scene())
+
+
 # Discovery
 
 
@@ -427,6 +466,22 @@
     asyncio.run(scene())
 
 
+def test_sigterm_does_not_wait_for_half_a_request() -> None:
+    async def scene() -> None:
+        discovery, hosts = await fleet(answer_ok)
+        async with running(discovery, hosts) as proxy:
+            client = await proxy.client()
+            assert (await client.ask("/keyed")).status == 200
+            client.writer.write(b"POST /keyed HTTP/1.1\r\nX-Request-ID: 1\r\nContent-Length: 9\r\n\r\nhalf")
+            assert await proxy.health() == 200  # by now the half has been read
+            begun = time.monotonic()
+            proxy.process.send_signal(signal.SIGTERM)
+            assert await proxy.ended() == 0
+            assert time.monotonic() - begun < 5  # unfinished requests have 10 s otherwise
+
+    asyncio.run(scene())
+
+
 def test_no_configuration_no_start() -> None:
     done = subprocess.run(
         [sys.executable, "-m", "cloverrouter.proxy"],
