--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -852,11 +852,17 @@
     def _give_up(self, request: Request) -> None:
         """FAIL, or REFUSE, which tells the client that trying again is harmless, if no attempt ran."""
         if request.first_possible_run() is None:
-            self.actions.append(Refuse(request.id))
+            self.actions.append(Refuse(request.id, self._come_back_ms()))
         else:
             self.actions.append(Fail(request.id))
         self._finish(request)
 
+    def _come_back_ms(self) -> float:
+        """The paper's first wait, for clients of sites that pass it on. Danger: turned away at once, they
+        are back at once, and the same overload turns them away again."""
+        limits = self.settings.limits
+        return min(BACKOFF_BASE_MS, limits.max_retry_after_ms) if limits.retry_after else 0.0
+
     def _finish(self, request: Request) -> None:
         request.done = True
         self._drop_timer(request)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -289,6 +289,22 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize(
+    ("bounds", "wait"), [({}, None), ({"retry_after": True, "max_retry_after_ms": 750.0}, "0.100")]
+)
+def test_refusal_says_when_to_come_back_where_the_settings_pass_it_on(
+    bounds: dict[str, Any], wait: str | None
+) -> None:
+    async def scene() -> None:
+        discovery, hosts = await fleet(answer_ok)
+        told = {"bounds": {**SETTINGS["bounds"], **bounds}}
+        async with running(discovery, hosts, settings=told) as proxy:
+            got = await (await proxy.client()).ask("/unsafe", timeout_ms=0)
+            assert (got.status, got.headers.get("retry-after")) == (503, wait)
+
+    asyncio.run(scene())
+
+
 def test_unknown_class_is_sent_once() -> None:
     async def scene() -> None:
         discovery, hosts = await fleet(reset, reset)
