Keep the watch on discovery alive whatever it answers

Found by reading: discovery.py, _run, caught named errors only. A list nested too deep (RecursionError), a version too large (OverflowError) or a 101 (its own exception in httptools) ended the task, and nobody asked again; the module was never told. Each of the three new cases hung before and passes now.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -84,10 +84,12 @@
             asked_s = asyncio.get_running_loop().time()
             try:
                 found = await self._call()
-            except (OSError, EOFError, ValueError, DiscoveryError, httptools.HttpParserError) as error:
+            except Exception as error:
+                # Danger: an answer that can't be read in a way nobody thought of would end the watch for
+                # good. Nothing of the module's runs in here: its crashes are not hidden.
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._close()
-                if isinstance(error, ValueError):
+                if not isinstance(error, OSError | EOFError | DiscoveryError):
                     self.version = None  # what follows on it can't be trusted: ask for the whole list
                 self._on_failure()
                 if not self._pushed:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -399,9 +399,24 @@
         ok(b'{"version":2,"full":false,"servers":[{"id":"h0","state":"left"},{"id":"h1","state":"odd"}]}'),
         ok(b'{"version":2,"full":true'),
         ok(b"[]"),
+        ok(b"[" * 200_000),
+        ok(b'{"version":2' + b"0" * 400 + b',"full":true,"servers":[]}'),
+        b"HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
         ok(b'{"version":NaN,"full":true,"servers":[]}'),
     ],
-    ids=["503", "reset", "noise", "no address", "half good", "cut", "no list", "version"],
+    ids=[
+        "503",
+        "reset",
+        "noise",
+        "no address",
+        "half good",
+        "cut",
+        "no list",
+        "deep",
+        "huge",
+        "upgrade",
+        "version",
+    ],
 )
 def test_failed_discovery_leaves_the_list_and_is_asked_again(broken: bytes) -> None:
     async def scene() -> None:
