Take SIGHUP: reread the file, move the watch to the new discovery

Checked: no handler for SIGHUP in __main__.serve, so the default action ended the process; config.load lets PROXY_DISCOVERY win, so a plain reload would have kept the old address; Watch had no way to leave a call that waits. Now: SIGHUP is ignored until the loop takes it; the file alone names the address; the watch drops the call in hand and asks the new address for the whole list at once. A bad file is logged and changes nothing.

--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -39,6 +39,16 @@
         node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
 
     sockets = min(told.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
+    def reload() -> None:
+        """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
+        try:
+            address = config.reload_discovery(os.environ)
+        except Exception as error:
+            log.error("configuration not reread: %s: %s", type(error).__name__, error)
+            return
+        log.info("discovery is at %s:%d from now on", *address)
+        watch.move(address)
+
     upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
     pushed = not told.settings.subscribe
     watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed())
@@ -48,6 +58,7 @@
         node.listed(ListKind.RESTORED, told.known)
     if pushed or told.known is None:
         watch.start()
+    loop.add_signal_handler(signal.SIGHUP, reload)
     frontend = Frontend(node, sockets // 2)
     await frontend.listen(told.listen)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -84,6 +95,8 @@
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
+    # Danger: SIGHUP's default action ends the process; it may come before the loop takes it, or after.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         told = config.load(os.environ)
     except (KeyError, ValueError, OSError) as error:
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -192,6 +192,15 @@
         return zlib.crc32(str(value).encode())
 
 
+def reload_discovery(environ: Mapping[str, str]) -> Address:
+    """The address of discovery as the file has it now.
+
+    The environment is as old as the process: its copy of the address would undo the change. Raises
+    KeyError, ValueError, TypeError or OSError for a file that can't be used.
+    """
+    return read_address(json.loads(Path(environ["PROXY_CONFIG"]).read_text())["discovery"])
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
     told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -73,9 +73,19 @@
         if self._task is None or self._task.done():
             self._task = asyncio.get_running_loop().create_task(self._run())
 
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on, first for the whole list: versions are not shared.
+
+        Danger: a call that is out may go on waiting at the old address while its list grows stale.
+        """
+        self.stop()
+        self._address, self.version = address, None
+        self.start()
+
     def stop(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
+        task, self._task = self._task, None
+        if task is not None:
+            task.cancel()
         self._close()
 
     async def _run(self) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -216,12 +216,18 @@
 class Proxy:
     """The program, started as `run` says but with this interpreter."""
 
-    def __init__(self, address: str, process: subprocess.Popen[bytes], stderr: Path) -> None:
-        self.address, self.process, self._stderr = address, process, stderr
+    def __init__(self, address: str, process: subprocess.Popen[bytes], stderr: Path, config: Path) -> None:
+        self.address, self.process, self._stderr, self.config = address, process, stderr, config
 
     def log(self) -> str:
         return self._stderr.read_text()
 
+    async def logged(self, text: str) -> None:
+        end = time.monotonic() + LONG_S
+        while text not in self.log():
+            assert self.process.poll() is None and time.monotonic() < end, self.log()
+            await asyncio.sleep(0.02)
+
     async def client(self) -> Client:
         host, port = self.address.split(":")
         return Client(*await asyncio.open_connection(host, int(port)))
@@ -255,6 +261,7 @@
     ready: tuple[int, ...] = (200,),
     command: list[str] | str = [sys.executable, "-m", "cloverrouter.proxy"],  # noqa: B006
     settings: dict[str, Any] | None = None,
+    environ: dict[str, str] | None = None,
 ) -> AsyncIterator[Proxy]:
     """The program with these hosts, up and answering."""
     discovery.entries.update({host.name: host.entry() for host in hosts})
@@ -271,11 +278,11 @@
         with stderr.open("wb") as log:
             process = subprocess.Popen(
                 command,
-                env={**os.environ, "PROXY_CONFIG": str(path)},
+                env={**os.environ, "PROXY_CONFIG": str(path), **(environ or {})},
                 stderr=log,
                 shell=isinstance(command, str),
             )
-        proxy = Proxy(address, process, stderr)
+        proxy = Proxy(address, process, stderr, path)
         try:
             await proxy.wait_health(*ready)
             yield proxy
