--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -91,6 +91,9 @@
 DEFAULT_DEADLINE_MS = 1000.0
 
 NEVER_RAN = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+# The server has done the work: how fast tells what it can take, whatever the answer was worth. Danger:
+# answers come spoilt from all servers alike, and a pause for each would leave out the whole fleet.
+WORKED = (Outcome.OK, Outcome.SPOILT)
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
 
 
@@ -800,19 +803,18 @@
         usual = self.latencies[cls.name]
         good_ms = usual.in_good_time_ms()
         slow = latency_ms / good_ms
-        self.flow.ended(
-            self.now_ms, usual.base_ms, slow if outcome in (Outcome.OK, Outcome.TIMEOUT) else None
-        )
+        self.flow.ended(self.now_ms, usual.base_ms, slow if outcome in (*WORKED, Outcome.TIMEOUT) else None)
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
             usual.add(latency_ms)
             on_time = latency_ms <= self._aim_ms(cls, request)
             attempt.endpoint.judge(self.now_ms, 1.0 if on_time else cls.late_worth, slowness)
-            attempt.endpoint.answered(self.now_ms, latency_ms)
         else:
             # Danger: a server that fails fast looks quick. A failure never counts as faster than usual.
             attempt.endpoint.judge(self.now_ms, 0.0, max(1.0, usual.slowness(latency_ms)))
-        if outcome in (Outcome.OK, Outcome.TIMEOUT):
+        if outcome in WORKED:
+            attempt.endpoint.answered(self.now_ms, latency_ms)
+        if outcome in (*WORKED, Outcome.TIMEOUT):
             attempt.endpoint.adapt_limit(
                 self.now_ms,
                 min(latency_ms, good_ms),
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -35,6 +35,7 @@
     TIMEOUT = "timeout"  # may have run, may still run
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"  # connection lost under way; may have run
+    SPOILT = "spoilt"  # an answer came that is of no use; it ran
     CANCELLED = "cancelled"  # called off by us; may have run
     NOT_SENT = "not_sent"  # the proxy did not send it
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -10,7 +10,6 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from math import isfinite
 
 from cloverrouter.decide import Balancer
 from cloverrouter.interface import (
@@ -37,7 +36,7 @@
 )
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, Call
-from cloverrouter.proxy.upstream import Exchange, Upstream
+from cloverrouter.proxy.upstream import Exchange, Host, Upstream
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
 # this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
@@ -45,6 +44,8 @@
 MOST_LAG_MS = 30.0
 LAG_EVERY_S = 0.05
 LAG_KEPT = 0.98  # of the longest lag, from one measurement to the next
+# Danger: smoothed, a figure beyond belief would outweigh all that come after it.
+MOST_REPORTED = 1e6
 log = logging.getLogger(__name__)
 
 
@@ -57,7 +58,7 @@
         report = tuple(float(pairs[name.encode()]) for name in fields)
     except (KeyError, ValueError):
         return None
-    return report if all(isfinite(value) and value >= 0 for value in report) else None
+    return report if all(0 <= value <= MOST_REPORTED for value in report) else None
 
 
 class LagMeter:
@@ -82,12 +83,12 @@
 class Try:
     """An attempt that is out."""
 
-    __slots__ = ("endpoint", "exchange", "number", "request", "sent_ms", "timer")
+    __slots__ = ("exchange", "host", "number", "request", "sent_ms", "timer")
 
-    def __init__(self, request: Request, number: int, endpoint: str, sent_ms: float) -> None:
+    def __init__(self, request: Request, number: int, host: Host, sent_ms: float) -> None:
         self.request = request
         self.number = number
-        self.endpoint = endpoint
+        self.host = host
         self.sent_ms = sent_ms
         self.exchange: Exchange | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -273,10 +274,11 @@
             self.tell(AttemptEnded(request.id, number, Outcome.NOT_SENT, 0.0, request.answered))
             return
         timeout_ms = min(timeout_ms, self._longest_ms())
-        attempt = request.out[number] = Try(request, number, action.endpoint, self._now_ms)
+        host = action.endpoint, address
+        attempt = request.out[number] = Try(request, number, host, self._now_ms)
         attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
         attempt.exchange = self._upstream.send(
-            address, request.call, timeout_ms, lambda outcome, answer: self._ended(attempt, outcome, answer)
+            host, request.call, timeout_ms, lambda outcome, answer: self._ended(attempt, outcome, answer)
         )
 
     def _longest_ms(self) -> float:
@@ -318,13 +320,14 @@
                 self._addresses[name] = entry.address
             else:
                 self._addresses.pop(name, None)
-        self._upstream.keep_only(set(self._addresses.values()))
+        self._upstream.keep_only(set(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
         # Danger: a send to a host that drains, still connecting now, could go out after the grace.
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
                 unsent = attempt.exchange is not None and not attempt.exchange.written
-                if unsent and attempt.endpoint not in self._addresses:
+                name, address = attempt.host
+                if unsent and self._addresses.get(name) != address:
                     self._give_up(attempt, Outcome.NOT_SENT)
 
     def discovery_failed(self) -> None:
