Module: a single broken connection pauses no host

Probed: every reset logged with the connection's idle time: 2.5 to 5% of the uses of a connection break whatever its age, on new ones too; so it is the network, not a host. At fault: Endpoint.failed halved the limit and paused the host for each of them. Now the first broken connection in a row only counts; the second pauses, as before. Errors and refusals pause at once, as before.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -94,6 +94,7 @@
 # The server has done the work: how fast tells what it can take, whatever the answer was worth. Danger:
 # answers come spoilt from all servers alike, and a pause for each would leave out the whole fleet.
 WORKED = (Outcome.OK, Outcome.SPOILT)
+BROKEN = (Outcome.RESET, Outcome.CONNECT_FAILED)  # the connection's fate, which may be the network's doing
 NO_EVIDENCE = (Outcome.CANCELLED, Outcome.NOT_SENT)  # our own doing: says nothing about the server
 
 
@@ -217,11 +218,15 @@
         self.failures = 0
         self.latency_ms += (GAIN if self.latency_ms else 1.0) * (latency_ms - self.latency_ms)
 
-    def failed(self, now_ms: float, pause_ms: float, longest_ms: float) -> None:
+    def failed(self, now_ms: float, pause_ms: float, longest_ms: float, broken: bool = False) -> None:
         """Danger: a server that turns work away or fails at once takes in, and spoils, more than its
         share. It gets a pause, doubled each time, and then little to prove itself with."""
         if now_ms >= self.paused_until_ms:
             self.failures += 1
+            # Danger: connections break now and then to all servers alike, and a pause for each would leave
+            # out the whole fleet. A server that is down breaks the next one, too.
+            if broken and self.failures == 1:
+                return
             self.paused_until_ms = now_ms + min(longest_ms, pause_ms * 2.0 ** min(self.failures - 1, 16))
             self.limit = max(min(1.0, self.limit), self.limit / 2)
 
@@ -822,7 +827,8 @@
                 LIMIT_LEAST if self.crowded else 1.0,
             )
         else:
-            attempt.endpoint.failed(self.now_ms, usual.base_ms, self.longest_deadline_ms / 2)
+            longest_ms = self.longest_deadline_ms / 2
+            attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms, outcome in BROKEN)
 
     def _on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request_id)
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -39,6 +39,7 @@
         node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
 
     sockets = min(told.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
+
     def reload() -> None:
         """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
         try:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -327,3 +327,20 @@
         balancer.handle(i * 100.0 + 50, [AttemptEnded(i, 0, Outcome.SPOILT, 50.0)])
         assert all(e.has_room(i * 100.0 + 51) for e in balancer.membership.ready)
     assert sent == {"a", "b"}
+
+
+def broken_at(failures: int, outcome: Outcome) -> bool:
+    """Is the only server left out after so many attempts in a row that ended so?"""
+    balancer = Balancer(SETTINGS, 1)
+    balancer.handle(0.0, [EndpointsListed(ListKind.FULL, (ListedEndpoint("a"),))])
+    for i in range(1, failures + 1):
+        balancer.handle(i * 2.0, [RequestArrived(i, "unsafe", i * 2.0 + 1000)])
+        balancer.handle(i * 2.0 + 1, [AttemptEnded(i, 0, outcome, 1.0)])
+    return not balancer.membership.ready[0].has_room(failures * 2.0 + 1)
+
+
+def test_one_broken_connection_pauses_no_server_but_two_in_a_row_do() -> None:
+    for outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+        assert not broken_at(1, outcome)
+        assert broken_at(2, outcome)
+    assert broken_at(1, Outcome.ERROR) and broken_at(1, Outcome.REJECTED)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -56,9 +56,7 @@
     asyncio.run(scene())
 
 
-@pytest.mark.parametrize(
-    "text", ["", "{", "[]", "{}", '{"discovery": 5}', '{"discovery": "a.name:1"}', None]
-)
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}", '{"discovery": 5}', '{"discovery": "a.name:1"}', None])
 def test_bad_file_is_logged_and_what_works_is_kept(text: str | None) -> None:
     async def scene() -> None:
         discovery, host, late = await Discovery().start(), await Host("h0").start(), await Host("h1").start()
