--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -87,6 +87,8 @@
 COVER = 12.0
 WINDOW_LEAST = 3.0
 WINDOW_SPANS = 0.5
+# From this part of the requests that clients can have open on, those held are let go, the oldest first.
+FULL_SHARE = 0.85
 # Of a class nothing is known of, when the request does not say either.
 DEFAULT_DEADLINE_MS = 1000.0
 
@@ -656,6 +658,16 @@
         self.held_count += 1
         insort(self.held, (-request.value, -self.held_count, request))
         request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up))
+        most = self.settings.limits.max_open
+        if most and len(self.requests) > FULL_SHARE * most:
+            self._let_go()
+
+    def _let_go(self) -> None:
+        """Danger: each held request takes up a connection of its client's. With none left, whatever comes
+        next is lost unseen. What has waited longest is the least likely to be served in time still."""
+        waiting = [entry for entry in self.held if not entry[2].done and entry[2].timer is not None]
+        if waiting:
+            self._give_up(min(waiting, key=lambda entry: (entry[2].arrived_ms, entry[2].id))[2])
 
     def _send_held(self) -> None:
         """Walk the queue once; a walk costs little even when it is long and few servers have room."""
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -78,6 +78,7 @@
     retry_after: bool = False
     max_retry_after_ms: float = 0.0
     connect_timeout_ms: float = 250.0
+    max_open: int = 0  # requests that the clients can have open here; more don't reach it. 0: not known
 
 
 @dataclass(frozen=True, slots=True)
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -40,6 +40,7 @@
 STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
 DEFAULT_IDLE_MS = 15_000.0
 DEFAULT_SOCKETS = 256
+CLIENTS_SHARE = 1 / 3  # of the descriptors at most are held by clients for requests
 
 
 # Settings
@@ -60,7 +61,8 @@
     )
 
 
-def read_settings(facts: Json) -> Settings:
+def read_settings(facts: Json, most_open: int = 0) -> Settings:
+    """`most_open`: the requests that clients have connections for; 0 where there are no connections."""
     bounds, safety, prices = facts["bounds"], facts["safety"], facts.get("prices", {})
     return Settings(
         classes=tuple(read_class(c) for c in facts["categories"]),
@@ -78,6 +80,7 @@
             retry_after=bounds.get("retry_after", False),
             max_retry_after_ms=bounds.get("max_retry_after_ms", 0.0),
             connect_timeout_ms=bounds.get("connect_timeout_ms", 250.0),
+            max_open=min(bounds.get("max_open", 0) or most_open, most_open),
         ),
         safety=Safety(
             cold_share=safety["cold_share"],
@@ -205,14 +208,15 @@
     """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
     told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
     facts, clock = told["settings"], UnixClock()
+    sockets = int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS))
     return Config(
         name=environ.get("PROXY_NAME") or told["name"],
         listen=read_address(environ.get("PROXY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
         seed=read_seed(told.get("seed", 0)),
-        sockets=int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS)),
+        sockets=sockets,
         conn_idle_ms=facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS),
-        settings=read_settings(facts),
+        settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_list(told["known"], clock) if told.get("known") else None,
         clock=clock,
     )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -383,3 +383,19 @@
     driver.tell(RequestArrived(900, "safe", repeat=True))  # has most likely missed its aim before
     assert driver.wait(1000) == []
     assert driver.wait(1000) == [Refuse(900)]
+
+
+def test_clients_with_hardly_a_connection_left_lose_what_has_waited_longest() -> None:
+    """Danger: requests held for long take up the connections that others need to come at all."""
+    config = replace(SETTINGS, limits=replace(SETTINGS.limits, max_open=10))
+    driver = Driver(config, [endpoint("s1")])
+    for _ in range(8):
+        driver.request("safe")
+    held = [request for *_, request in driver.balancer.held]
+    assert len(held) > 2 and not [a for a in driver.log if isinstance(a, Refuse)]
+    driver.wait(20)
+    driver.request("safe")
+    # At once, not when its time is up.
+    (refused,) = [a.request_id for a in driver.log if isinstance(a, Refuse)]
+    assert refused == min(request.id for request in held)
+    assert len(driver.balancer.requests) == 8
