Discovery: a watch waits 3 s, not 20

The log: one TimeoutError of discovery at 22.2 s, nothing before it, though twelve changes had happened since 9 s; ruled out: lists that were read wrong (none came), pauses. At fault: HOLD_MS of 20 s, with GRACE_S on top, before a silent watch is noticed.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -11,7 +11,8 @@
 
 from cloverrouter.proxy.config import Address, HostList, UnixClock, read_list
 
-HOLD_MS = 20_000
+# Danger: a watch that has fallen silent looks just like one that waits; only after the wait can it be told.
+HOLD_MS = 3_000
 GRACE_S = 2.0  # over what a call may take: from then on discovery is taken to be silent
 CONNECT_S = 1.0
 MOST_BYTES = 4 * 1024 * 1024
