Module and node: a read-only view, reasons for giving up, and the observer seam

Need: operators must see what the module believes and why requests end as they do; nothing offered that. With none set the cost is one comparison at each place.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -22,8 +22,10 @@
 from cloverrouter.interface import (
     Action,
     AttemptEnded,
+    BalancerView,
     EndpointsListed,
     EndpointState,
+    EndpointView,
     Event,
     Fail,
     Idempotency,
@@ -44,6 +46,7 @@
     StreamStarted,
     Subscribe,
     TimerFired,
+    Why,
 )
 
 # The paper's own figures.
@@ -253,6 +256,23 @@
             rest_ms = latency_ms * (1 / self.limit - 1)
             self.paused_until_ms = max(self.paused_until_ms, now_ms + rest_ms)
 
+    def view(self, now_ms: float, safety: Safety) -> EndpointView:
+        listed = self.listed
+        return EndpointView(
+            listed.name,
+            listed.zone,
+            listed.cell,
+            listed.state,
+            self.in_flight,
+            self.limit,
+            self.payoff,
+            self.warmth(now_ms, safety),
+            max(0.0, self.paused_until_ms - now_ms),
+            self.silent(now_ms),
+            self.failures,
+            self.latency_ms,
+        )
+
     def forget(self, share: float, earned: float, slowness: float) -> None:
         """Drift towards the others' mean. Danger: a server judged bad is never drawn, so nothing
         would ever show that it is well again."""
@@ -563,6 +583,17 @@
         self._send_held()
         return self.actions
 
+    def view(self, now_ms: float) -> BalancerView:
+        """What the module believes at `now_ms`, for people. Reading it changes no decision."""
+        endpoints = self.membership.endpoints.values()
+        return BalancerView(
+            tuple(e.view(now_ms, self.settings.safety) for e in endpoints),
+            len(self.requests),
+            sum(not r.done and r.timer is not None for _, _, r in self.held),
+            self.budget.tokens,
+            self.failed_calls > 0,
+        )
+
     # Discovery
 
     def _on_list(self, event: EndpointsListed) -> None:
@@ -606,7 +637,7 @@
     def _dispatch(self, request: Request) -> None:
         """Send the request's next attempt now, or hold it until a server may take it."""
         if self._useless_ms(request) <= self.now_ms:
-            self._give_up(request)
+            self._give_up(request, Why.TOO_LATE)
         elif self._try_send(request, self._roomy()) is None:
             self._hold(request)
 
@@ -648,7 +679,7 @@
         usual_ms = self.latencies[request.cls.name].mean_ms if request.cls else DEFAULT_DEADLINE_MS / 4
         wait_ms = self._useless_ms(request) - usual_ms - self.now_ms
         if wait_ms <= 0:
-            self._give_up(request)
+            self._give_up(request, self._no_room())
             return
         # A client's repeat has most likely waited for its aim already, the time before.
         aim_ms = self._aim_ms(request.cls, request) if request.cls and not request.repeat else 0.0
@@ -657,7 +688,7 @@
             wait_ms = min(wait_ms, request.in_aim_until_ms - self.now_ms)
         self.held_count += 1
         insort(self.held, (-request.value, -self.held_count, request))
-        request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up))
+        request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up_held))
         most = self.settings.limits.max_open
         if most and len(self.requests) > FULL_SHARE * most:
             self._let_go()
@@ -667,7 +698,8 @@
         next is lost unseen. What has waited longest is the least likely to be served in time still."""
         waiting = [entry for entry in self.held if not entry[2].done and entry[2].timer is not None]
         if waiting:
-            self._give_up(min(waiting, key=lambda entry: (entry[2].arrived_ms, entry[2].id))[2])
+            oldest = min(waiting, key=lambda entry: (entry[2].arrived_ms, entry[2].id))[2]
+            self._give_up(oldest, Why.CROWDED)
 
     def _send_held(self) -> None:
         """Walk the queue once; a walk costs little even when it is long and few servers have room."""
@@ -849,32 +881,41 @@
             self._drop_timer(request)
 
     def _retry(self, request: Request) -> None:
-        more = len(request.attempts) < self.settings.limits.max_attempts
-        if not (more and request.repeatable() and self._sleep(request)):
-            self._give_up(request)
-
-    def _sleep(self, request: Request) -> bool:
-        """Pay, wait by the paper's jitter and try then. False if no time, or no token, is left."""
+        if len(request.attempts) >= self.settings.limits.max_attempts:
+            self._give_up(request, Why.ATTEMPTS)
+        elif not request.repeatable():
+            self._give_up(request, Why.MAY_HAVE_RUN if request.first_possible_run() else Why.ONE_ATTEMPT)
+        elif (why := self._sleep(request)) is not None:
+            self._give_up(request, why)
+
+    def _sleep(self, request: Request) -> Why | None:
+        """Pay, wait by the paper's jitter and try then. Or why not: no time, or no token, is left."""
         wait = backoff_ms(request.prev_wait_ms, self.random)
         sleep = min(wait, self._useless_ms(request) - self.now_ms - DEADLINE_MARGIN_MS)
-        if self.now_ms + sleep >= request.repeats_end_ms():
-            return False
-        if sleep <= 0 or not self.budget.spend():
-            return False
+        if sleep <= 0 or self.now_ms + sleep >= request.repeats_end_ms():
+            return Why.NO_TIME
+        if not self.budget.spend():
+            return Why.NO_TOKENS
         request.prev_wait_ms = wait
         request.timer = self._set_timer(sleep, lambda: self._wake(request, self._dispatch))
-        return True
+        return None
 
     def _wake(self, request: Request, then: Callable[[Request], None]) -> None:
         request.timer = None
         then(request)
 
-    def _give_up(self, request: Request) -> None:
+    def _no_room(self) -> Why:
+        return Why.NO_ROOM if self.membership.ready else Why.NO_SERVER
+
+    def _give_up_held(self, request: Request) -> None:
+        self._give_up(request, self._no_room())
+
+    def _give_up(self, request: Request, why: Why) -> None:
         """FAIL, or REFUSE, which tells the client that trying again is harmless, if no attempt ran."""
         if request.first_possible_run() is None:
-            self.actions.append(Refuse(request.id, self._come_back_ms()))
+            self.actions.append(Refuse(request.id, self._come_back_ms(), why))
         else:
-            self.actions.append(Fail(request.id))
+            self.actions.append(Fail(request.id, why))
         self._finish(request)
 
     def _come_back_ms(self) -> float:
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -40,6 +40,20 @@
     NOT_SENT = "not_sent"  # the proxy did not send it
 
 
+class Why(Enum):
+    """Why the module gave a request up: for people who ask, never for decisions."""
+
+    NO_SERVER = "no server is listed as ready"
+    NO_ROOM = "no server had room in time"
+    TOO_LATE = "no time was left when it came"
+    CROWDED = "waiting requests held too many clients' connections"
+    ATTEMPTS = "all attempts allowed were used"
+    ONE_ATTEMPT = "its class gets one attempt, which did not run"
+    MAY_HAVE_RUN = "it may have run, and its class is not repeated"
+    NO_TIME = "no time was left for another attempt"
+    NO_TOKENS = "the retry budget was spent"
+
+
 class EndpointState(Enum):
     READY = "ready"
     DRAINING = "draining"
@@ -235,6 +249,7 @@
 
     request_id: int
     retry_after_ms: float = 0.0
+    why: Why | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,6 +257,7 @@
     """Final answer: failed; whether it ran is not said."""
 
     request_id: int
+    why: Why | None = field(default=None, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,3 +288,38 @@
 
 
 Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | Subscribe | Log
+
+
+# What the balancer believes, for people who ask. Reading it changes nothing.
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointView:
+    """One endpoint as the module sees it at one moment. Spans are in ms, `warmth` from 0 to 1."""
+
+    name: str
+    zone: str
+    cell: int
+    state: EndpointState
+    in_flight: int  # attempts of this proxy that are out there
+    limit: float  # as many it may hold
+    payoff: float
+    warmth: float  # share of its full capacity that it surely has by now
+    paused_ms: float  # until it may be sent work again; 0: not paused
+    silent: bool  # owes answers for far longer than usual
+    failures: int  # in a row
+    latency_ms: float  # smoothed; 0: not known
+
+    @property
+    def healthy(self) -> bool:
+        """Can it take work, as far as the module knows?"""
+        return self.state is EndpointState.READY and self.paused_ms <= 0 and not self.silent
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerView:
+    endpoints: tuple[EndpointView, ...]
+    requests: int  # known: waiting, out, or answered with an attempt still out
+    held: int  # waiting for a server with room
+    retry_tokens: float
+    discovery_lost: bool
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -21,6 +21,7 @@
 from cloverrouter.interface import Idempotency
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, Answer, Call, unread
+from cloverrouter.proxy.observer import Observer
 
 BACKLOG = 1024
 ACCEPTED_AT_ONCE = 16  # then those that are open have their turn
@@ -336,6 +337,8 @@
         if transport is None or self._ended:
             return
         self._ended, self.since_s = True, self._frontend.loop.time()
+        if self._frontend.observer is not None:
+            self._frontend.observer.turned_away(status)
         self._withdraw()
         self._reset()
         transport.write(encode(status, b"", b"", True))
@@ -410,6 +413,7 @@
         self.handler = handler
         self.classes = classes
         self.stopping = False
+        self.observer: Observer | None = None
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.waiting_ids: set[bytes] = set()
         self._most_open = most_open
@@ -486,6 +490,11 @@
         An answer that ends its connection frees it at once, and no request can cross that end."""
         return len(self._yielding[1]) >= self._most_open // MOST_IDLE_PART
 
+    @property
+    def count(self) -> int:
+        """Connections of clients that are open."""
+        return len(self._connections)
+
     def knows(self, request_id: bytes) -> bool:
         return request_id in self.waiting_ids or self.handler.is_open(request_id)
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -15,6 +15,7 @@
 from cloverrouter.interface import (
     Action,
     AttemptEnded,
+    BalancerView,
     Cancel,
     EndpointsListed,
     EndpointState,
@@ -33,9 +34,11 @@
     Settings,
     Subscribe,
     TimerFired,
+    Why,
 )
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, Call
+from cloverrouter.proxy.observer import Final, Observer, Tried
 from cloverrouter.proxy.upstream import Exchange, Host, Upstream
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
@@ -97,7 +100,7 @@
 class Request:
     """A call until its answer is given and its attempts have ended."""
 
-    __slots__ = ("answered", "call", "deadline_ms", "id", "out", "tries")
+    __slots__ = ("answered", "call", "deadline_ms", "id", "out", "trail", "tries")
 
     def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
         self.id = request_id
@@ -106,6 +109,7 @@
         self.tries = 0
         self.out: dict[int, Try] = {}
         self.answered = False  # or nothing is owed any more
+        self.trail: list[Tried] | None = None  # how its attempts ended, for an observer
 
 
 class Node:
@@ -132,6 +136,7 @@
         self._handling = False
         self._now_ms = 0.0
         self._lag = LagMeter()
+        self.observer: Observer | None = None
 
     # The module's clock, events and actions
 
@@ -167,10 +172,12 @@
                 request = self._take_unanswered(action.request_id)
                 if request is not None:
                     request.call.refused(action.retry_after_ms)
+                    self._observe_end(request, Final.REFUSED, action.why)
             case Fail():
                 request = self._take_unanswered(action.request_id)
                 if request is not None:
                     request.call.failed()
+                    self._observe_end(request, Final.FAILED, action.why)
             case Cancel():
                 request = self._requests.get(action.request_id)
                 if request is not None and action.attempt in request.out:
@@ -181,6 +188,17 @@
                 self._subscribe()
             case Log():
                 log.info("%s", action.text)
+                if self.observer is not None:
+                    self.observer.said(action.text)
+
+    def _observe_end(self, request: Request, final: Final, why: Why | None) -> None:
+        if self.observer is not None:
+            took_ms = self.now_ms() - request.call.arrived_ms
+            self.observer.ended(request.call, final, why, request.trail or (), took_ms)
+
+    def view(self) -> BalancerView:
+        """What the module believes now."""
+        return self._balancer.view(self.now_ms())
 
     def _set_timer(self, action: SetTimer) -> None:
         due_ms = self._now_ms + action.delay_ms
@@ -215,6 +233,8 @@
         request = Request(self._last_id, call, deadline_ms)
         self._requests[request.id] = self._by_call[call] = request
         self._ids.add(call.request_id)
+        if self.observer is not None:
+            self.observer.taken(call)
         self.tell(
             RequestArrived(
                 request_id=request.id,
@@ -233,6 +253,7 @@
         if request is None:
             return
         self._take_unanswered(request.id)
+        self._observe_end(request, Final.GONE, None)
         self.tell(RequestGone(request.id))
         for attempt in list(request.out.values()):
             self._give_up(attempt, Outcome.CANCELLED)
@@ -303,12 +324,22 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         latency_ms = self.now_ms() - attempt.sent_ms
+        report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
+        if self.observer is not None:
+            self._observe_try(request, Tried(attempt.host[0], outcome, latency_ms), report)
         if answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
             request.call.served(answer)
+            self._observe_end(request, Final.SERVED, None)
         self._drop_if_over(request)
-        report = read_report(answer.report, self._settings.report_fields) if answer is not None else None
         self.tell(AttemptEnded(request.id, attempt.number, outcome, latency_ms, request.answered, report))
 
+    def _observe_try(self, request: Request, tried: Tried, report: tuple[float, ...] | None) -> None:
+        assert self.observer is not None
+        if request.trail is None:
+            request.trail = []
+        request.trail.append(tried)
+        self.observer.tried(tried, report)
+
     # Discovery
 
     def listed(self, kind: ListKind, found: HostList) -> None:
--- /dev/null
+++ b/cloverrouter/proxy/observer.py
@@ -0,0 +1,51 @@
+"""The observer seam: what happened and why, after the fact.
+
+The node calls an observer at a few moments of a request's life. An observer never blocks, never raises
+for a request's sake and keeps what it keeps within bounds of its own. With none set, the cost is one
+comparison at each of these moments.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+from cloverrouter.interface import Outcome, Why
+from cloverrouter.proxy.messages import Call
+
+
+class Final(Enum):
+    """How a request that was taken ended."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    GONE = "gone"  # the client left before its answer
+
+
+class Tried(NamedTuple):
+    """An attempt that has ended; `took_ms` counts from its start here."""
+
+    server: str
+    outcome: Outcome
+    took_ms: float
+
+
+class Observer(Protocol):
+    def taken(self, call: Call) -> None:
+        """A request came whole and goes to the module."""
+
+    def tried(self, tried: Tried, report: tuple[float, ...] | None) -> None:
+        """An attempt ended; `report` is the server's load report, in the settings' order of fields."""
+
+    def ended(
+        self, call: Call, final: Final, why: Why | None, trail: Sequence[Tried], took_ms: float
+    ) -> None:
+        """The final answer was given, or the client left. `took_ms` counts from the request's last byte."""
+
+    def turned_away(self, status: int) -> None:
+        """What can't be valid was answered with `status`; the module never saw it."""
+
+    def said(self, text: str) -> None:
+        """The module said something for the log."""
