Appliance: operators' file, drains over the roster, control socket and ctl

Need: a small office looks after its proxy from a terminal, and nothing could be asked of it or told to it. An operators' file (PROXY_SITE, strict, off by default) turns on a control socket and a state folder; drains overlay what discovery says, outlive later lists and restarts, and the last server that can take work is drained only by a second step. With no file no new module is loaded (tested).

--- /dev/null
+++ b/cloverrouter/__main__.py
@@ -0,0 +1,8 @@
+"""`python -m cloverrouter`: the command line."""
+
+import sys
+
+from cloverrouter.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cloverrouter/cli.py
@@ -0,0 +1,124 @@
+"""The command line: one program, one word for each thing that a technician does with it."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+DEFAULT_SOCKET = "/run/cloverrouter/control.sock"
+# Exit codes of `ctl`, for scripts.
+DONE, REFUSED, USAGE, UNREACHABLE, LOST = 0, 1, 2, 3, 4
+
+
+def build_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m cloverrouter",
+        description="A client proxy for registry servers, and the tools to look after it.",
+    )
+    words = parser.add_subparsers(dest="word", required=True, metavar="WORD")
+
+    run = words.add_parser("run", help="start the proxy; PROXY_CONFIG names its configuration")
+    run.add_argument("--site", help="the operators' file; else PROXY_SITE names it, or everything is off")
+
+    check = words.add_parser("check", help="tell whether an operators' file is right, without starting")
+    check.add_argument("file")
+
+    tool = words.add_parser("ctl", help="give a running proxy one command, and end")
+    where = tool.add_mutually_exclusive_group()
+    where.add_argument("--socket", help=f"the proxy's control socket ({DEFAULT_SOCKET})")
+    where.add_argument("--site", help="the operators' file that names the socket's folder")
+    tool.add_argument("--json", action="store_true", help="the answer as JSON, for scripts")
+    tool.add_argument("words", nargs="+", metavar="COMMAND", help="such as: drain s-1 minutes=30")
+    tool.epilog = (
+        "'ctl help' lists the commands. Exit codes: 0 done, 1 the proxy refused, 2 wrong words, "
+        "3 no proxy reached, 4 the answer was lost."
+    )
+    return parser
+
+
+def socket_path(socket: str | None, site: str | None) -> Path:
+    """Where the control socket is: by option, by the operators' file, by PROXY_SITE, or by default.
+
+    Raises `SiteError` for a file that is wrong.
+    """
+    if socket:
+        return Path(socket)
+    site = site or os.environ.get("PROXY_SITE")
+    if site:
+        from cloverrouter.site import load
+
+        return load(site).control.socket
+    return Path(DEFAULT_SOCKET)
+
+
+def check(file: str) -> int:
+    from cloverrouter.site import SiteError
+    from cloverrouter.site import check as check_file
+    from cloverrouter.site.settings import describe
+
+    try:
+        site = check_file(file)
+    except SiteError as wrong:
+        print(wrong, file=sys.stderr)
+        return USAGE
+    print(f"{file} is right. In force:\n{describe(site)}")
+    return DONE
+
+
+def ctl(path: Path, words: Sequence[str], as_json: bool) -> int:
+    from cloverrouter.console.text import answer_lines, error_line, event_line
+    from cloverrouter.control.client import ControlClient, Lost, Unreachable
+    from cloverrouter.control.words import BadWords, parse
+
+    try:
+        client = ControlClient(path)
+    except Unreachable as wrong:
+        print(wrong, file=sys.stderr)
+        return UNREACHABLE
+    try:
+        do, args = parse(words, client.ask("help")["result"]["commands"])
+        answer = client.ask(do, **args)
+        if as_json:
+            print(json.dumps({k: v for k, v in answer.items() if k in ("ok", "result", "error")}))
+        elif answer["ok"]:
+            print("\n".join(answer_lines(do, answer["result"], time.time() * 1000)))
+        else:
+            print(error_line(answer["error"]), file=sys.stderr)
+        if answer["ok"] and args.get("follow"):
+            for event in client.follow():
+                print(json.dumps(event) if as_json else event_line(event), flush=True)
+        if answer["ok"]:
+            return DONE
+        return USAGE if answer["error"]["code"] in ("bad_argument", "no_command") else REFUSED
+    except BadWords as wrong:
+        print(wrong, file=sys.stderr)
+        return USAGE
+    except Lost as wrong:
+        print(f"the answer was lost: {wrong}", file=sys.stderr)
+        return LOST
+    except KeyboardInterrupt:
+        return DONE
+    finally:
+        client.close()
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    told = build_parser().parse_args(arguments)
+    match told.word:
+        case "check":
+            return check(told.file)
+        case "run":
+            from cloverrouter.proxy.__main__ import main as run
+
+            return run(told.site)
+    try:
+        path = socket_path(told.socket, told.site)
+    except ValueError as wrong:
+        print(wrong, file=sys.stderr)
+        return USAGE
+    return ctl(path, told.words, told.json)
--- /dev/null
+++ b/cloverrouter/compose.py
@@ -0,0 +1,159 @@
+"""The appliance's composition root: which directions are on, and how they hang together.
+
+Imported only where an operators' file is named. It alone knows the directions; they know the seams.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import time
+from pathlib import Path
+
+from cloverrouter.control import Book, ControlError, Events, Server
+from cloverrouter.control import tell as telling
+from cloverrouter.control.tell import Listed, Sources
+from cloverrouter.interface import ListKind
+from cloverrouter.proxy.config import Config, HostList, StartError
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.node import Node
+from cloverrouter.roster import Keeper
+from cloverrouter.roster.guard import condition
+from cloverrouter.roster.overlay import Drain
+from cloverrouter.seams import Commands, Json
+from cloverrouter.site import Site, SiteError, check
+
+TICK_S = 1.0
+log = logging.getLogger(__name__)
+
+
+def read_site(path: str) -> Site:
+    """Raises `SiteError`, a ValueError: the program does not start on a file that is wrong."""
+    return check(path)
+
+
+def descriptors(site: Site) -> int:
+    """How many descriptors the appliance may hold, which requests then can't."""
+    return site.control.clients + 4 if site.control.enabled else 0
+
+
+class Alarms:
+    """What is wrong until it is mended, by a name for each."""
+
+    def __init__(self) -> None:
+        self._texts: dict[str, str] = {}
+
+    def set(self, name: str, text: str | None) -> None:
+        if text is None:
+            self._texts.pop(name, None)
+        else:
+            self._texts[name] = text
+
+    def texts(self) -> list[str]:
+        return list(self._texts.values())
+
+
+class Appliance:
+    """All that the operators' file turned on, for one node."""
+
+    def __init__(self, site: Site, told: Config, node: Node) -> None:
+        self._site, self._told, self._node = site, told, node
+        self._alarms = Alarms()
+        self._boot = secrets.token_hex(4)
+        self._server: Server | None = None
+        self._tick: asyncio.TimerHandle | None = None
+        self._events = Events(_now_ms)
+        folder = None
+        if site.state.enabled:
+            folder = Path(site.state.directory)
+        try:
+            if folder is not None:
+                folder.mkdir(mode=0o700, exist_ok=True)
+            self.keeper = Keeper(folder, node.listed, node.view, self._event, self._alarms.set)
+        except OSError as error:
+            raise StartError(f"[state]: {error}") from error
+        self._book: Book | None = None
+
+    def _event(self, kind: str, what: Json) -> None:
+        self._events.add(kind, what)
+
+    def listed(self, kind: ListKind, found: HostList) -> None:
+        self.keeper.listed(kind, found)
+
+    def start(self, frontend: Frontend) -> None:
+        """Open the control socket. Raises `StartError`."""
+        settings = self._told.settings
+        if not self._site.control.enabled:
+            return
+        names = [cls.name for cls in settings.classes]
+        book = self._book = Book(names, _now_ms, lambda text: self._event("module", {"text": text}))
+        self._node.observer = frontend.observer = book
+        sources = Sources(
+            self._told.name,
+            self._boot,
+            _now_ms(),
+            _now_ms,
+            self._node.view,
+            self._roster,
+            condition,
+            lambda: frontend.count,
+            lambda: frontend.stopping,
+            self._alarms.texts,
+            settings.report_fields,
+            book,
+            self._events,
+        )
+        commands = Commands()
+        commands.add(*telling.commands(sources, commands), *self.keeper.commands())
+        control = self._site.control
+        self._server = Server(
+            self._told.name,
+            self._boot,
+            control.socket,
+            commands,
+            self._events,
+            control.clients,
+            control.queue_kb * 1024,
+        )
+        try:
+            self._server.listen()
+        except ControlError as error:
+            raise StartError(f"[control]: {error}") from error
+        log.info("control: listens at %s", control.socket)
+        self._on_tick()
+
+    def _roster(self) -> list[Listed]:
+        overlay = self.keeper.overlay
+        found = []
+        for name in sorted({*overlay.told, *overlay.drains}):
+            entry = overlay.told.get(name)
+            zone = entry.listed.zone if entry is not None else ""
+            address = "" if entry is None or entry.address is None else "{}:{}".format(*entry.address)
+            found.append(Listed(name, overlay.state(name), zone, address, _told(overlay.drains.get(name))))
+        return found
+
+    def _on_tick(self) -> None:
+        assert self._book is not None
+        self._book.tick(self.keeper.overlay.told)
+        self._tick = asyncio.get_running_loop().call_later(TICK_S, self._on_tick)
+
+    async def close(self) -> None:
+        if self._tick is not None:
+            self._tick.cancel()
+        if self._server is not None:
+            self._server.close()
+        await self.keeper.close()
+
+
+def _told(drain: Drain | None) -> Json | None:
+    if drain is None:
+        return None
+    return {"by": drain.by, "since_ms": drain.since_ms, "until_ms": drain.until_ms, "note": drain.note}
+
+
+def _now_ms() -> float:
+    return time.time() * 1000
+
+
+__all__ = ["Appliance", "SiteError", "StartError", "descriptors", "read_site"]
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 from cloverrouter.interface import ListKind
 from cloverrouter.proxy import config
@@ -17,6 +18,9 @@
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.upstream import Upstream
 
+if TYPE_CHECKING:
+    from cloverrouter.site import Site
+
 # After SIGTERM connections go on coming for a while: until then they are taken and served.
 STILL_ACCEPTING_S = 0.5
 RESERVED_SOCKETS = 24  # standard streams, the loop's own, the listener, discovery, and some air
@@ -25,8 +29,8 @@
 log = logging.getLogger("cloverrouter.proxy")
 
 
-async def serve(told: Config) -> int:
-    """Run until SIGTERM, or until the module fails; the exit code."""
+async def serve(told: Config, site: Site | None = None) -> int:
+    """Run until SIGTERM, or until the module fails; the exit code. `site`: the operators' settings."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     crashes: list[BaseException] = []
@@ -36,9 +40,14 @@
         stop.set()
 
     def on_list(found: HostList) -> None:
-        node.listed(ListKind.FULL if found.full else ListKind.DELTA, found)
+        listed(ListKind.FULL if found.full else ListKind.DELTA, found)
 
     sockets = min(told.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
+    if site is not None:
+        # What an installation has turned off it does not import: this is the only way to a direction.
+        from cloverrouter import compose
+
+        sockets -= compose.descriptors(site)
 
     def reload() -> None:
         """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
@@ -54,14 +63,18 @@
     pushed = not told.settings.subscribe
     watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed())
     node = Node(told.settings, told.seed, upstream, watch.start, crash)
+    appliance = None if site is None else compose.Appliance(site, told, node)
+    listed = node.listed if appliance is None else appliance.listed
     if told.known is not None:
         watch.version = told.known.version
-        node.listed(ListKind.RESTORED, told.known)
+        listed(ListKind.RESTORED, told.known)
     if pushed or told.known is None:
         watch.start()
     loop.add_signal_handler(signal.SIGHUP, reload)
     classes = {cls.name: cls.idempotency for cls in told.settings.classes}
     frontend = Frontend(node, classes, sockets // 2)
+    if appliance is not None:
+        appliance.start(frontend)
     await frontend.listen(told.listen)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -71,6 +84,8 @@
     if not crashes:
         await drain(frontend, node)
     watch.stop()
+    if appliance is not None:
+        await appliance.close()
     if crashes:
         log.critical("the decisions crashed", exc_info=crashes[0])
         return 1
@@ -93,18 +108,29 @@
         frontend.close_idle()
 
 
-def main() -> int:
+def main(site_path: str | None = None) -> int:
+    """`site_path`: the operators' file; without it `PROXY_SITE` names one, or there is none."""
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     # Danger: SIGHUP's default action ends the process; it may come before the loop takes it, or after.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    site = None
     try:
         told = config.load(os.environ)
+        site_path = site_path or os.environ.get("PROXY_SITE")
+        if site_path:
+            from cloverrouter import compose
+
+            site = compose.read_site(site_path)
     except (KeyError, ValueError, OSError) as error:
         log.critical("no usable configuration: %s: %s", type(error).__name__, error)
         return 2
-    return asyncio.run(serve(told))
+    try:
+        return asyncio.run(serve(told, site))
+    except config.StartError as error:
+        log.critical("the operators' settings can't be carried out: %s", error)
+        return 2
 
 
 if __name__ == "__main__":
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -43,6 +43,10 @@
 CLIENTS_SHARE = 1 / 3  # of the descriptors at most are held by clients for requests
 
 
+class StartError(Exception):
+    """What the operators' file turns on can't be started; the text names the table and the reason."""
+
+
 # Settings
 
 
--- /dev/null
+++ b/cloverrouter/site/settings.py
@@ -0,0 +1,184 @@
+"""The operators' file to typed settings. Strict: whatever is not known, or not in range, is an error that
+names the file, the key and what would be right; all errors are found in one go.
+
+The file is TOML 1.0. Every feature has one table; `enabled` turns it on. A file that is absent, or has no
+table, leaves everything off.
+"""
+
+from __future__ import annotations
+
+import difflib
+import os
+import stat
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+from msgspec import Meta, Struct, ValidationError, convert
+from msgspec import json as msgspec_json
+from msgspec.structs import fields
+
+VARIABLE = "PROXY_SITE"
+MOST_BYTES = 256 * 1024
+MOST_PATH = 107  # bytes of a Unix socket's path, its closing zero left out (unix(7))
+SOCKET = "control.sock"
+
+Folder = Annotated[str, Meta(min_length=1, max_length=4096, description="a folder's absolute path")]
+
+
+class Control(Struct, frozen=True):
+    """`[control]`: the socket for the console and for `ctl`."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    directory: Folder = "/run/cloverrouter"
+    clients: Annotated[int, Meta(ge=1, le=64, description="a whole number from 1 to 64")] = 16
+    queue_kb: Annotated[int, Meta(ge=16, le=4096, description="a whole number from 16 to 4096")] = 256
+
+    @property
+    def socket(self) -> Path:
+        return Path(self.directory, SOCKET)
+
+
+class State(Struct, frozen=True):
+    """`[state]`: what lives through a restart."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    directory: Folder = "/var/lib/cloverrouter"
+
+
+class Site(Struct, frozen=True):
+    control: Control = Control()
+    state: State = State()
+
+
+class Fault(Struct, frozen=True):
+    """One thing that is wrong: where, what, and what would be right."""
+
+    key: str
+    text: str
+    right: str
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.text}; {self.right}" if self.key else f"{self.text}; {self.right}"
+
+
+class SiteError(ValueError):
+    """The file can't be used. `faults` has everything that is wrong with it."""
+
+    def __init__(self, path: str, faults: list[Fault]) -> None:
+        super().__init__("\n".join(f"{path}: {fault}" for fault in faults))
+        self.path, self.faults = path, faults
+
+
+def _unknown(what: str, name: str, known: list[str]) -> Fault:
+    close = difflib.get_close_matches(name, known, 1)
+    right = f"did you mean {close[0]!r}? " if close else ""
+    return Fault(name, f"no such {what}", f"{right}known here: {', '.join(known)}")
+
+
+def _table(name: str, kind: type[Struct], told: Any, faults: list[Fault]) -> Struct | None:
+    """One table's settings; None, and the reasons in `faults`, if anything in it is wrong."""
+    if not isinstance(told, dict):
+        faults.append(Fault(name, f"is {told!r}", f"must be a table, written [{name}]"))
+        return None
+    before = len(faults)
+    known = {field.name: field for field in fields(kind)}
+    values: dict[str, Any] = {}
+    for key, value in told.items():
+        if key not in known:
+            fault = _unknown("setting", key, list(known))
+            faults.append(Fault(f"{name}.{key}", fault.text, fault.right))
+            continue
+        try:
+            values[key] = convert(value, known[key].type)
+        except ValidationError:
+            schema = known[key].type.__metadata__[-1]
+            faults.append(Fault(f"{name}.{key}", f"is {value!r}", f"must be {schema.description}"))
+    return kind(**values) if len(faults) == before else None
+
+
+def read(text: str) -> tuple[Site | None, list[Fault]]:
+    """The settings in `text`, or all that is wrong with it."""
+    faults: list[Fault] = []
+    try:
+        told = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return None, [Fault("", f"is no TOML: {error}", "see https://toml.io for the form")]
+    kinds = {field.name: field.type for field in fields(Site)}
+    tables: dict[str, Any] = {}
+    for name, value in told.items():
+        if name not in kinds:
+            faults.append(_unknown("table", name, list(kinds)))
+        else:
+            tables[name] = _table(name, kinds[name], value, faults)
+    if faults:
+        return None, faults
+    site = Site(**tables)
+    for name, folder in (("control", site.control.directory), ("state", site.state.directory)):
+        if not folder.startswith("/"):
+            right = "must be an absolute path: the program may be started anywhere"
+            faults.append(Fault(f"{name}.directory", f"is {folder!r}", right))
+    if len(os.fsencode(site.control.socket)) > MOST_PATH:
+        text = f"is too long: the socket's path would have {len(os.fsencode(site.control.socket))} bytes"
+        faults.append(Fault("control.directory", text, f"at most {MOST_PATH} with /{SOCKET}"))
+    return (None if faults else site), faults
+
+
+def load(path: str) -> Site:
+    """Raises `SiteError` for a file that is missing, too large, or wrong in any way."""
+    try:
+        with open(path, "rb") as file:
+            data = file.read(MOST_BYTES + 1)
+    except OSError as error:
+        fault = Fault("", f"can't be read: {error.strerror}", "give a readable file")
+        raise SiteError(path, [fault]) from error
+    if len(data) > MOST_BYTES:
+        raise SiteError(path, [Fault("", "is too large", f"at most {MOST_BYTES} bytes")])
+    try:
+        text = data.decode()
+    except UnicodeDecodeError as error:
+        fault = Fault("", f"is no UTF-8 text: byte {error.start} can't be read", "save it as UTF-8")
+        raise SiteError(path, [fault]) from error
+    site, faults = read(text)
+    if site is None:
+        raise SiteError(path, faults)
+    return site
+
+
+def private_folder(key: str, folder: str) -> Fault | None:
+    """What is wrong with a folder that only its owner may enter; None if it is right or not there yet."""
+    try:
+        found = os.stat(folder)
+    except FileNotFoundError:
+        if Path(folder).parent.is_dir():
+            return None  # it is made at the start
+        return Fault(key, f"{folder}: its parent folder is not there", "make the parent folder first")
+    except OSError as error:
+        return Fault(key, f"{folder}: {error.strerror}", "a folder that this user can reach")
+    if not stat.S_ISDIR(found.st_mode):
+        return Fault(key, f"{folder} is no folder", "name a folder, or remove what is there")
+    if found.st_uid != os.geteuid():
+        right = f"it must belong to the proxy's user, {os.geteuid()}"
+        return Fault(key, f"{folder} belongs to user {found.st_uid}", right)
+    if found.st_mode & 0o077:
+        text = f"{folder} has mode {found.st_mode & 0o777:04o}: others can enter it"
+        return Fault(key, text, f"chmod 0700 {folder}")
+    return None
+
+
+def check(path: str) -> Site:
+    """`load`, and the folders looked at as they are now. Raises `SiteError`."""
+    site = load(path)
+    faults = [
+        fault
+        for key, table in (("control.directory", site.control), ("state.directory", site.state))
+        if table.enabled and (fault := private_folder(key, table.directory)) is not None
+    ]
+    if faults:
+        raise SiteError(path, faults)
+    return site
+
+
+def describe(site: Site) -> str:
+    """The settings in force, those left at their defaults among them, as JSON text."""
+    return msgspec_json.format(msgspec_json.encode(site), indent=2).decode()
--- /dev/null
+++ b/tests/test_footprint.py
@@ -0,0 +1,53 @@
+"""What is off costs nothing: without an operators' file `run` loads what it always did."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from tests.sockets import Discovery, Host, Proxy, running
+from tests.standins.appliance import boxed
+
+DIRECTIONS = ("site", "roster", "control", "console", "demo", "compose", "seams", "cli")
+
+
+def modules(log: str) -> set[str]:
+    """The names that `-X importtime` has written."""
+    return {line.rpartition("|")[2].strip() for line in log.splitlines() if line.startswith("import time:")}
+
+
+def rss_kb(proxy: Proxy) -> int:
+    lines = Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines()
+    return int(next(line for line in lines if line.startswith("VmRSS")).split()[1])
+
+
+def test_without_a_file_no_direction_and_no_further_library_is_loaded() -> None:
+    async def scene() -> None:
+        hosts, discovery = [await Host("h0").start()], await Discovery().start()
+        command = [sys.executable, "-X", "importtime", "-m", "cloverrouter.proxy"]
+        async with running(discovery, hosts, command=command) as proxy:
+            client = await proxy.client()
+            assert (await client.ask("/keyed")).status == 200
+            proxy.process.terminate()
+            assert await proxy.ended() == 0
+            loaded = modules(proxy.log())
+            assert "cloverrouter.proxy.node" in loaded  # the list is there
+            ours = {name for name in loaded if name.startswith("cloverrouter.")}
+            assert not [name for name in ours if name.split(".")[1] in DIRECTIONS]
+            assert not [name for name in loaded if name.split(".")[0] in ("msgspec", "tomllib", "curses")]
+
+    asyncio.run(scene())
+
+
+def test_without_a_file_it_takes_less_memory_than_with_one() -> None:
+    async def scene() -> None:
+        hosts, discovery = [await Host("h0").start()], await Discovery().start()
+        async with running(discovery, hosts) as proxy, boxed(hosts) as (_, boxed_proxy, _):
+            for each in (proxy, boxed_proxy):
+                client = await each.client()
+                for _ in range(50):
+                    assert (await client.ask("/keyed")).status == 200
+            assert rss_kb(proxy) < rss_kb(boxed_proxy)
+
+    asyncio.run(scene())
