--- a/cloverrouter/cli.py
+++ b/cloverrouter/cli.py
@@ -22,22 +22,35 @@
     )
     words = parser.add_subparsers(dest="word", required=True, metavar="WORD")
 
+    demo = words.add_parser("demo", help="start everything on this machine with stand-in servers, and look")
+    demo.add_argument("--seconds", type=float, default=600.0, help="end by itself after so long (600)")
+    demo.add_argument("--rate", type=float, default=30.0, help="requests a second, at most 200 (30)")
+    demo.add_argument("--servers", type=int, default=3, help="stand-in servers, 1 to 20 (3)")
+
     run = words.add_parser("run", help="start the proxy; PROXY_CONFIG names its configuration")
     run.add_argument("--site", help="the operators' file; else PROXY_SITE names it, or everything is off")
 
     check = words.add_parser("check", help="tell whether an operators' file is right, without starting")
     check.add_argument("file")
 
-    tool = words.add_parser("ctl", help="give a running proxy one command, and end")
-    where = tool.add_mutually_exclusive_group()
-    where.add_argument("--socket", help=f"the proxy's control socket ({DEFAULT_SOCKET})")
-    where.add_argument("--site", help="the operators' file that names the socket's folder")
-    tool.add_argument("--json", action="store_true", help="the answer as JSON, for scripts")
-    tool.add_argument("words", nargs="+", metavar="COMMAND", help="such as: drain s-1 minutes=30")
-    tool.epilog = (
-        "'ctl help' lists the commands. Exit codes: 0 done, 1 the proxy refused, 2 wrong words, "
-        "3 no proxy reached, 4 the answer was lost."
-    )
+    for word, text in (
+        ("console", "watch a running proxy and give it commands, in a terminal"),
+        ("ctl", "give a running proxy one command, and end"),
+    ):
+        tool = words.add_parser(word, help=text)
+        where = tool.add_mutually_exclusive_group()
+        where.add_argument("--socket", help=f"the proxy's control socket ({DEFAULT_SOCKET})")
+        where.add_argument("--site", help="the operators' file that names the socket's folder")
+        if word == "console":
+            tool.add_argument("--speed", type=int, help="the line's speed in baud, if the terminal errs")
+            tool.add_argument("--plain", action="store_true", help="plain lines, as without a terminal")
+        else:
+            tool.add_argument("--json", action="store_true", help="the answer as JSON, for scripts")
+            tool.add_argument("words", nargs="+", metavar="COMMAND", help="such as: drain s-1 minutes=30")
+            tool.epilog = (
+                "'ctl help' lists the commands. Exit codes: 0 done, 1 the proxy refused, 2 wrong words, "
+                "3 no proxy reached, 4 the answer was lost."
+            )
     return parser
 
 
@@ -116,9 +129,17 @@
             from cloverrouter.proxy.__main__ import main as run
 
             return run(told.site)
+        case "demo":
+            from cloverrouter.demo.launch import main as demo
+
+            return demo(told.seconds, told.rate, told.servers)
     try:
         path = socket_path(told.socket, told.site)
     except ValueError as wrong:
         print(wrong, file=sys.stderr)
         return USAGE
-    return ctl(path, told.words, told.json)
+    if told.word == "ctl":
+        return ctl(path, told.words, told.json)
+    from cloverrouter.console.app import main as console
+
+    return console(path, told.speed, told.plain)
