--- a/cloverrouter/console/editor.py
+++ b/cloverrouter/console/editor.py
@@ -60,7 +60,7 @@
                 self._recall(self._place - 1)
             case "DOWN":
                 self._recall(self._place + 1)
-            case _ if len(key) == 1 and len(self.text) < MOST_TEXT:
+            case _ if len(key) == 1 and " " <= key <= "~" and len(self.text) < MOST_TEXT:
                 self._put(before + key, after)
         return None
 
--- a/cloverrouter/console/text.py
+++ b/cloverrouter/console/text.py
@@ -52,9 +52,9 @@
     """One line: how it goes."""
     rates, servers = status["rates"], status["servers"]
     return (
-        f"servers {servers['listed']} able {servers['healthy']} drained {servers['drained']}"
+        f"able {servers['healthy']}/{servers['listed']} drained {servers['drained']}"
         f" | open {status['open']} held {status['held']}"
-        f" | /s in {rate(rates.get('taken', 0))} ok {rate(rates.get('served', 0))}"
+        f" | /s: in {rate(rates.get('taken', 0))} ok {rate(rates.get('served', 0))}"
         f" refused {rate(rates.get('refused', 0))} failed {rate(rates.get('failed', 0))}"
     )
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -141,6 +141,7 @@
         self.changes: list[tuple[int, str]] = []
         self.broken: list[bytes] = []  # answers to the next calls; an empty one is a reset
         self.calls: list[str] = []
+        self.holds = False  # end a watch after its hold, with no change? Else it waits for one for ever
         self.changed = asyncio.Condition()
 
     async def start(self) -> Discovery:
@@ -178,9 +179,11 @@
                         writer.transport.abort()
                     continue
                 since = int(target.partition("from=")[2].partition("&")[0]) if "from=" in target else None
-                async with self.changed:
-                    while since is not None and self.version <= since:
-                        await self.changed.wait()
+                hold_s = int(target.partition("hold_ms=")[2] or 0) / 1000 if self.holds else None
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(hold_s if since is not None else None), self.changed:
+                        while since is not None and self.version <= since:
+                            await self.changed.wait()
                 writer.write(ok(json.dumps(self.listing(since)).encode()))
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
--- a/tests/standins/appliance.py
+++ b/tests/standins/appliance.py
@@ -97,7 +97,9 @@
     hosts: list[Host], state: bool = True, control: str = "", discovery: Discovery | None = None
 ) -> AsyncIterator[tuple[Box, Proxy, Discovery]]:
     """A proxy with control and, if wanted, state, before these hosts."""
-    discovery = discovery or await Discovery().start()
+    if discovery is None:
+        discovery = await Discovery().start()
+        discovery.holds = True
     with tempfile.TemporaryDirectory() as folder:
         box = Box(Path(folder), state, control)
         async with running(discovery, hosts, environ=box.environ) as proxy:
