--- /dev/null
+++ b/tests/vrrp/simulation.py
@@ -0,0 +1,291 @@
+"""Two boxes, perhaps a witness, a lossy network and drifting clocks, in simulated time and from one seed.
+
+The invariant: at no moment may more than one box take work. A box's right begins only when an answer comes
+to it, so it is enough to look after every event.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from ipaddress import ip_address
+from random import Random
+from typing import Any
+
+from cloverrouter.vrrp.lease import Answer, Lease, Release, Request, Terms, Voter
+from cloverrouter.vrrp.machine import Advertise, Became, Heard, Machine, State
+
+INTERVAL_CS = 10
+TERMS = Terms(promise_ms=300.0, drift=0.05)
+RENEW_MS = 90.0
+LENGTH_MS = 2600.0
+ADDRESSES = {"a": ip_address("127.1.0.1"), "b": ip_address("127.1.0.2")}
+
+
+@dataclass
+class Parts:
+    """What the boxes are made of; a mutation puts another in a place."""
+
+    lease: Callable[..., Lease] = Lease
+    voter: Callable[..., Voter] = Voter
+    terms: Terms = TERMS
+
+
+class TwoTake(AssertionError):
+    pass
+
+
+class Clock:
+    """Within the stated drift of true time, from an origin of its own."""
+
+    def __init__(self, random: Random, drift: float) -> None:
+        self.rate = 1 + random.choice((-1.0, 1.0, random.uniform(-1, 1))) * drift
+        self.origin = random.uniform(0, 1e6)
+
+    def at(self, true_ms: float) -> float:
+        return self.origin + true_ms * self.rate
+
+    def true(self, local_ms: float) -> float:
+        return (local_ms - self.origin) / self.rate
+
+
+class Link:
+    """One direction: a two-state loss model, delays now and then far beyond a lease, copies."""
+
+    def __init__(self, random: Random, harsh: float, storm: bool) -> None:
+        self._random = random
+        self._late_ms = 60.0 if storm else 400.0
+        self._loss = random.uniform(0.1, 0.95) * harsh
+        self._bad_ms, self._good_ms = random.uniform(10, 600), random.uniform(50, 800)
+        self._late = 0.3 if storm else random.choice((0.0, 0.02, 0.2)) * harsh
+        self._copies = random.choice((0.0, 0.1))
+        self._bad, self._until_ms = False, 0.0
+        self.cut_until_ms = 0.0
+
+    def deliveries(self, now_ms: float) -> list[float]:
+        while now_ms >= self._until_ms:
+            self._bad = not self._bad
+            self._until_ms += self._random.expovariate(1 / (self._bad_ms if self._bad else self._good_ms))
+        times = []
+        for _ in range(2 if self._random.random() < self._copies else 1):
+            if now_ms < self.cut_until_ms or (self._bad and self._random.random() < self._loss):
+                continue
+            late = self._random.random() < self._late
+            times.append(now_ms + self._random.expovariate(1 / (self._late_ms if late else 3)))
+        return times
+
+
+class Node:
+    """A witness; the base of a box."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.clock = Clock(world.random, TERMS.drift)
+        self.paused_until_ms = 0.0
+        self.buffer: list[tuple[str, Any]] = []
+        self.voter = world.parts.voter(name, world.parts.terms, self.clock.at(0))
+        # A node that has run for long holds nothing back.
+        self.voter._quiet_until_ms = float("-inf")
+
+    def receive(self, source: str, message: Any) -> None:
+        if isinstance(message, Request | Release):
+            answer = self.voter.handle(self.clock.at(self.world.now_ms), message)
+            if answer is not None:
+                self.world.send(self.name, source, answer)
+
+    def restart(self) -> None:
+        self.buffer.clear()
+        self.voter = self.world.parts.voter(
+            self.name, self.world.parts.terms, self.clock.at(self.world.now_ms)
+        )
+
+
+class BoxNode(Node):
+    def __init__(self, world: World, name: str, priority: int) -> None:
+        super().__init__(world, name)
+        self.life = 1
+        self.priority = priority
+        self._make()
+
+    def _make(self) -> None:
+        self.lease = self.world.parts.lease(self.name, self.life, self.world.weights, self.world.parts.terms)
+        self.machine = Machine(self.priority, INTERVAL_CS, ADDRESSES[self.name])
+        self.due_token = self.renew_token = 0
+        self.carry_out(self.machine.start(self.local))
+
+    @property
+    def local(self) -> float:
+        return self.clock.at(self.world.now_ms)
+
+    def taking(self) -> bool:
+        return self.world.now_ms >= self.paused_until_ms and self.lease.may_take(self.local)
+
+    def restart(self) -> None:
+        super().restart()
+        self.life += self.world.random.choice((1, 1, -1))  # the clock it is read from may be set back
+        self._make()
+
+    def receive(self, source: str, message: Any) -> None:
+        if isinstance(message, Heard):
+            self.carry_out(self.machine.heard(self.local, message))
+        elif isinstance(message, Answer):
+            self.lease.answered(message)
+        else:
+            super().receive(source, message)
+
+    def carry_out(self, actions: list[Any]) -> None:
+        peer = "b" if self.name == "a" else "a"
+        for action in actions:
+            if isinstance(action, Advertise):
+                heard = Heard(action.priority, self.machine.interval_cs, ADDRESSES[self.name])
+                self.world.send(self.name, peer, heard)
+            elif isinstance(action, Became):
+                if action.after is State.ACTIVE:
+                    self.renew()
+                elif action.before is State.ACTIVE:
+                    self.to_voters(self.lease.release())
+        self.schedule()
+
+    def to_voters(self, message: Any) -> None:
+        for voter in self.world.weights:
+            if voter == self.name:
+                Node.receive(self, self.name, message)
+            else:
+                self.world.send(self.name, voter, message)
+
+    def schedule(self) -> None:
+        self.due_token += 1
+        token = self.due_token
+        if self.machine.due_ms is not None:
+            at_ms = max(self.world.now_ms, self.clock.true(self.machine.due_ms) + 1e-6)
+            self.world.at(at_ms, self, lambda: self.tick(token))
+
+    def tick(self, token: int) -> None:
+        if token == self.due_token:
+            self.carry_out(self.machine.tick(self.local))
+
+    def renew(self) -> None:
+        self.renew_token += 1
+        token = self.renew_token
+
+        def again() -> None:
+            if token == self.renew_token and self.machine.state is State.ACTIVE:
+                self.renew()
+
+        self.to_voters(self.lease.request(self.local))
+        self.world.at(self.world.now_ms + RENEW_MS, self, again)
+
+
+class World:
+    def __init__(self, seed: int, parts: Parts | None = None) -> None:
+        self.seed, self.parts = seed, parts or Parts()
+        self.random = random = Random(seed)
+        self.now_ms = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self.takes = 0
+        witness = random.random() < 0.6
+        self.weights = {"a": 1, "b": 1, "w": 1} if witness else {"a": 2, "b": 1}
+        harsh = random.choice((0.0, 0.5, 1.0))
+        # Roles change so often that what was said in one is still under way in the next but one.
+        storm = random.random() < 0.25
+        self.links = {
+            (x, y): Link(random, harsh, storm) for x in ("a", "b", "w") for y in ("a", "b", "w") if x != y
+        }
+        self.nodes: dict[str, Node] = {}
+        equal = random.random() < 0.2
+        for name, priority in (("a", 200), ("b", 200 if equal else 100)):
+            self.nodes[name] = BoxNode(self, name, priority)
+        if witness:
+            self.nodes["w"] = Node(self, "w")
+        for node in list(self.nodes.values()) if storm else []:
+            if isinstance(node, BoxNode):
+                for _ in range(30):
+                    change = partial(random.choice((self._flap, self._bounce)), node)
+                    self.at(random.uniform(0, LENGTH_MS), node, change)
+        if storm and random.random() < 0.5:
+            self.links["a", "b"].cut_until_ms = self.links["b", "a"].cut_until_ms = LENGTH_MS
+        for _ in range(random.randrange(6)):
+            self.at(random.uniform(0, LENGTH_MS), None, self._fault)
+
+    # Events
+
+    def at(self, time_ms: float, node: Node | None, call: Callable[[], None]) -> None:
+        """At that time, or when the node runs again."""
+
+        def due() -> None:
+            if node is not None and self.now_ms < node.paused_until_ms:
+                # Danger to the rules: after a pause timers and messages come in any order.
+                self.at(node.paused_until_ms + self.random.random() * 0.01, node, call)
+            else:
+                call()
+
+        self._count += 1
+        heapq.heappush(self._events, (time_ms, self._count, due))
+
+    def send(self, source: str, target: str, message: Any) -> None:
+        if source == target:
+            self.nodes[target].receive(source, message)
+            return
+        node = self.nodes.get(target)
+        if node is not None:
+            for time_ms in self.links[source, target].deliveries(self.now_ms):
+                self.at(time_ms, node, lambda: node.receive(source, message))
+
+    def _fault(self) -> None:
+        random, name = self.random, self.random.choice(list(self.nodes))
+        node = self.nodes[name]
+        match random.randrange(5):
+            case 0:
+                node.paused_until_ms = self.now_ms + random.choice((20, 200, 400, 1500)) * random.random()
+            case 1:
+                node.restart()
+            case 2:  # one way
+                self.links[random.choice(list(self.links))].cut_until_ms = self.now_ms + random.uniform(
+                    50, 1500
+                )
+            case 3:
+                for (x, y), link in self.links.items():
+                    if name in (x, y):
+                        link.cut_until_ms = self.now_ms + random.uniform(50, 1500)
+            case 4 if isinstance(node, BoxNode):  # flaps
+                for i in range(random.randrange(1, 12)):
+                    self.at(self.now_ms + i * random.uniform(5, 200), node, lambda: self._flap(node))
+
+    def _flap(self, node: BoxNode) -> None:
+        node.priority = self.random.choice((50, 100, 200, 250))
+        node.carry_out(node.machine.set_priority(node.local, node.priority))
+
+    def _bounce(self, node: BoxNode) -> None:
+        """Stopped and started again as the owner of the addresses: active at once."""
+        node.carry_out(node.machine.stop(node.local))
+        node.machine.priority = 255
+        node.carry_out(node.machine.start(node.local))
+
+    def run(self) -> World:
+        """Raises `TwoTake`, with the seed, when the invariant is broken."""
+        a, b = self.nodes["a"], self.nodes["b"]
+        assert isinstance(a, BoxNode) and isinstance(b, BoxNode)
+        while self._events and self._events[0][0] < LENGTH_MS:
+            self.now_ms, _, call = heapq.heappop(self._events)
+            call()
+            if a.taking():
+                self.takes += 1
+                if b.taking():
+                    raise TwoTake(f"seed {self.seed}: both take at {self.now_ms:.3f} ms")
+            elif b.taking():
+                self.takes += 1
+        return self
+
+
+def run_range(start: int, stop: int) -> tuple[int, list[str]]:
+    """How many schedules had somebody take at all, and what was broken."""
+    took, broken = 0, []
+    for seed in range(start, stop):
+        try:
+            took += World(seed).run().takes > 0
+        except TwoTake as error:
+            broken.append(str(error))
+    return took, broken
