--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -97,6 +97,43 @@
         return used / 1000 / max(1, served), rss_kb(proxy.process.pid), served / int(rate * seconds)
 
 
+async def attached(rate: float, seconds: float, rounds: int) -> None:
+    """The same proxy with none, one and eight consoles in turns, under load and idle.
+
+    Processes that are started one after the other differ by more than a console costs; one process, looked
+    at in short turns, does not.
+    """
+    account = Account()
+    hosts = [await working_host(f"s-{i}", account, 0.01) for i in range(3)]
+    busy, idle = defaultdict[int, list[float]](list), defaultdict[int, list[float]](list)
+    async with boxed(hosts) as (box, proxy, _):
+        await load(proxy, rate, 2.0)
+        for number in range(rounds):
+            for count in (0, 1, 8) if number % 2 == 0 else (8, 1, 0):
+                async with AsyncExitStack() as stack:
+                    for _ in range(count):
+                        where = ("console", "--socket", str(box.socket))
+                        terminal, _ = await stack.enter_async_context(on_terminal(*where))
+                        await terminal.sees("s-2")
+                    await asyncio.sleep(0.5)
+                    start = run_ns(proxy.process.pid)
+                    served = await load(proxy, rate, seconds)
+                    busy[count].append((run_ns(proxy.process.pid) - start) / 1000 / max(1, served))
+                    await asyncio.sleep(0.2)
+                    start = run_ns(proxy.process.pid)
+                    await asyncio.sleep(seconds / 2)
+                    idle[count].append((run_ns(proxy.process.pid) - start) / 1e6 / (seconds / 2))
+    none = statistics.median(busy[0])
+    print(f"one proxy in turns, {rounds} rounds of {seconds:g} s at {rate:g} requests a second (medians):")
+    for count in (0, 1, 8):
+        cpu, rest = statistics.median(busy[count]), statistics.median(idle[count])
+        more = rest - statistics.median(idle[0])
+        print(
+            f"  {count} consoles: {cpu:.1f} us a request, {cpu / none:.3f} of none; idle {rest:.2f} ms a second:"
+            f" {more:.2f} ms more, {100 * more / (none * rate / 1000):.2f}% of what the load takes"
+        )
+
+
 async def bytes_by_screen(seconds: float, rate: float, servers: int) -> dict[str, Any]:
     """Bytes of the first paint, and bytes a second of each screen, on 9,600 baud under load."""
     account = Account()
@@ -151,6 +188,7 @@
             print(f"  {name}: {value:.2f}")
     if told.only == "bytes":
         return
+    asyncio.run(attached(told.rate, told.seconds / 2, 3 * told.rounds))
     figures: dict[str, list[tuple[float, int, float]]] = defaultdict(list)
     variants = [v for v in VARIANTS if v != "before" or told.before]
     for number in range(told.rounds):
@@ -164,8 +202,8 @@
         spread = [f"{f[0]:.0f}" for f in figures[variant]]
         low = min(f[0] for f in figures[variant]) / least
         rss, share = statistics.median(f[1] for f in figures[variant]), min(f[2] for f in figures[variant])
-        print(f"  {variant:<7}{cpu:7.1f} us a request ({', '.join(spread)}), {cpu / none:6.3f} of none (least: {low:.3f}), "
-              f"{rss / 1024:5.1f} MB, served {share:.3f}")  # fmt: skip
+        print(f"  {variant:<7}{cpu:7.1f} us a request ({', '.join(spread)}), {cpu / none:6.3f} of none "
+              f"(least: {low:.3f}), {rss / 1024:5.1f} MB, served {share:.3f}")  # fmt: skip
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/cloverrouter/vrrp/shell.py
@@ -0,0 +1,290 @@
+"""UDP, timers and the clock round a `Pair` or a witness's `Voter`. Carries out, decides nothing.
+
+The clock is CLOCK_BOOTTIME: monotonic, and it counts the time for which the machine was suspended, which a
+lease must not outlast.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from ipaddress import ip_address
+from typing import cast
+
+from cloverrouter.vrrp import packet
+from cloverrouter.vrrp.lease import Release, Request, Terms, Voter
+from cloverrouter.vrrp.machine import Advertise, Became, Heard, State
+from cloverrouter.vrrp.pair import Out, Pair, Shape
+from cloverrouter.vrrp.wire import (
+    BadDatagram,
+    Courier,
+    Datagram,
+    Kind,
+    Reason,
+    decode_lease,
+    encode_lease,
+)
+
+SocketAddress = tuple[str, int]
+HELLO_EVERY_MS = 100.0  # at most, to each: a flood of strange echoes is not answered one by one
+RETRY_AFTER_MS = 1000.0
+log = logging.getLogger(__name__)
+
+
+def now_ms() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
+
+
+class Post(asyncio.DatagramProtocol):
+    """The socket of one member: wraps, unwraps, says hello to whoever does not know this life."""
+
+    def __init__(
+        self,
+        courier: Courier,
+        addresses: Mapping[str, SocketAddress],
+        on_datagram: Callable[[Datagram], None],
+    ) -> None:
+        self.courier = courier
+        self._addresses = dict(addresses)
+        self._on_datagram = on_datagram
+        self._transport: asyncio.DatagramTransport | None = None
+        self._greeted_ms: dict[str, float] = {}
+
+    async def open(self, listen: SocketAddress) -> None:
+        """Raises OSError."""
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=listen)
+
+    def close(self) -> None:
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def error_received(self, exc: Exception) -> None:
+        """A peer that is not there answers by ICMP: it is as silent as one that is cut off."""
+
+    def send(self, target: str, kind: Kind, payload: bytes = b"") -> None:
+        if self._transport is not None:
+            self._transport.sendto(self.courier.wrap(target, kind, payload), self._addresses[target])
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        sender = next((name for name, known in self._addresses.items() if known == addr[:2]), None)
+        if sender is None:
+            self.courier.refused[Reason.SENDER] += 1  # a third box, or a stranger
+            return
+        try:
+            told = self.courier.unwrap(data)
+        except BadDatagram as wrong:
+            if wrong.reason is Reason.ECHO:
+                self._greet(sender)
+            return
+        if told.sender != sender:
+            self.courier.refused[Reason.SENDER] += 1
+        elif told.kind is not Kind.HELLO:
+            self._on_datagram(told)
+
+    def _greet(self, target: str) -> None:
+        at_ms = now_ms()
+        if at_ms - self._greeted_ms.get(target, float("-inf")) >= HELLO_EVERY_MS:
+            self._greeted_ms[target] = at_ms
+            self.send(target, Kind.HELLO)
+
+
+class Witness:
+    """The third voter: promises its vote, and nothing else."""
+
+    def __init__(
+        self, name: str, life: int, boxes: Mapping[str, SocketAddress], terms: Terms, secret: bytes | None
+    ) -> None:
+        self.voter = Voter(name, terms, now_ms())
+        self._post = Post(Courier(name, life, frozenset(boxes), secret), boxes, self._received)
+
+    async def open(self, listen: SocketAddress) -> None:
+        await self._post.open(listen)
+
+    def close(self) -> None:
+        self._post.close()
+
+    def _received(self, told: Datagram) -> None:
+        if told.kind not in (Kind.REQUEST, Kind.RELEASE):
+            return
+        try:
+            message = decode_lease(told.kind, told.payload)
+        except BadDatagram:
+            return
+        # Danger: a box that speaks for another could free the other's promise.
+        if isinstance(message, Request | Release) and message.stamp.box == told.sender:
+            answer = self.voter.handle(now_ms(), message)
+            if answer is not None:
+                self._post.send(told.sender, *encode_lease(answer))
+
+
+class Box:
+    """One box of a pair. Fills the admission seam. `changed` is called when taking begins or ends, `event`
+    of each transition with its reason, `alarm` of a pair that is set up wrongly."""
+
+    def __init__(
+        self,
+        shape: Shape,
+        life: int,
+        addresses: Mapping[str, SocketAddress],
+        vrid: int,
+        virtual: tuple[packet.Address, ...],
+        secret: bytes | None,
+        changed: Callable[[bool], None],
+        event: Callable[[str], None],
+        alarm: Callable[[str, str | None], None],
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._shape, self._vrid, self._virtual = shape, vrid, virtual
+        self._changed, self._event, self._alarm = changed, event, alarm
+        self.pair = Pair(shape, life, now_ms())
+        self.faults: Counter[packet.Fault] = Counter()
+        self.transitions: Counter[str] = Counter()
+        self._peer_address = ip_address(addresses[shape.peer][0])
+        self.post = Post(Courier(shape.name, life, frozenset(addresses), secret), addresses, self._received)
+        self._timer: asyncio.TimerHandle | None = None
+        self._taking_ms: float | None = None  # since when work is taken
+        self._until_ms = 0.0  # and up to when it may be, as far as is known
+        self._stopped = False
+
+    async def open(self, listen: SocketAddress) -> None:
+        """Raises OSError."""
+        await self.post.open(listen)
+        self._carry_out(self.pair.start(now_ms()))
+
+    # proxy.admission.Admission
+
+    def refusal(self) -> str:
+        at_ms = now_ms()
+        return "" if self.pair.may_take(at_ms) else self.pair.why_not(at_ms)
+
+    def retry_after_ms(self) -> float:
+        return RETRY_AFTER_MS
+
+    # Datagrams, timers
+
+    def _received(self, told: Datagram) -> None:
+        if self._stopped:
+            return
+        try:
+            if told.kind is Kind.ADVERTISEMENT:
+                self._advertised(told.payload)
+                return
+            message = decode_lease(told.kind, told.payload)
+        except BadDatagram:
+            self.post.courier.refused[Reason.FORM] += 1
+            return
+        # Danger: one that speaks for another could free, or forge, that one's promise.
+        spoken_for = message.stamp.box if isinstance(message, Request | Release) else message.voter
+        if spoken_for == told.sender:
+            self._carry_out(self.pair.heard(now_ms(), told.sender, message))
+
+    def _advertised(self, payload: bytes) -> None:
+        own = self.pair.machine
+        try:
+            told = packet.decode(payload, self._peer_address, self._shape.address)
+        except packet.BadPacket as wrong:
+            self.faults[wrong.fault] += 1
+            return
+        fault = packet.check(told, self._vrid, own.priority, self._virtual)
+        if fault is not None:
+            self.faults[fault] += 1
+        self._alarm(
+            "vrrp", None if fault is None else f"the pair is set up wrongly: the peer has {fault.value}"
+        )
+        if fault is not None and fault is not packet.Fault.ADDRESSES:
+            return
+        if told.interval_cs != own.interval_cs and told.priority:
+            text = f"the peer advertises every {told.interval_cs} cs, this box every {own.interval_cs}"
+            self._alarm("vrrp", f"the pair is set up wrongly: {text}")
+        heard = Heard(told.priority, told.interval_cs, self._peer_address)
+        self._carry_out(self.pair.heard(now_ms(), self._shape.peer, heard))
+
+    def _carry_out(self, out: list[Out]) -> None:
+        for action in out:
+            if isinstance(action, Became):
+                self.transitions[f"{action.before.value} to {action.after.value}"] += 1
+                text = f"{action.before.value} -> {action.after.value}: {action.why}"
+                log.warning("vrrp: %s", text)
+                self._event(text)
+            elif isinstance(action.message, Advertise):
+                told = packet.Advertisement(
+                    self._vrid, action.message.priority, self.pair.machine.interval_cs, self._virtual
+                )
+                data = packet.encode(told, self._shape.address, self._peer_address)
+                self.post.send(action.target, Kind.ADVERTISEMENT, data)
+            else:
+                self.post.send(action.target, *encode_lease(action.message))
+        self._look()
+        self._schedule()
+
+    def _look(self) -> None:
+        """Has taking begun or ended?"""
+        at_ms = now_ms()
+        if self.pair.may_take(at_ms):
+            if self._taking_ms is None:
+                self._taking_ms = at_ms
+                log.warning("vrrp: takes work from %.3f on", at_ms)
+                self._changed(True)
+            self._until_ms = self.pair.lease.until_ms()
+        elif self._taking_ms is not None:
+            # Released, it ended just now; by time, it ended when the lease did, however late we look.
+            begun, self._taking_ms = self._taking_ms, None
+            log.warning("vrrp: took work from %.3f to %.3f", begun, min(at_ms, self._until_ms))
+            self._changed(False)
+
+    def _schedule(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        due_ms = self.pair.due_ms()
+        if self._taking_ms is not None:
+            due_ms = self._until_ms if due_ms is None else min(due_ms, self._until_ms)
+        if due_ms is not None:
+            self._timer = self._loop.call_later(max(0.0, due_ms - now_ms()) / 1000 + 0.0005, self._tick)
+
+    def _tick(self) -> None:
+        self._carry_out(self.pair.tick(now_ms()))
+
+    def vouch(self) -> None:
+        self._carry_out(self.pair.vouch(now_ms()))
+
+    def hand_over(self) -> None:
+        """Stop in an orderly way: priority 0, and the votes given back, in this step."""
+        self._carry_out(self.pair.stop(now_ms()))
+
+    def resume(self) -> None:
+        self._carry_out(self.pair.start(now_ms()))
+
+    def close(self) -> None:
+        if self.pair.machine.state is not State.INITIALIZE:
+            self.hand_over()
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self.post.close()
+
+    def told(self) -> dict[str, object]:
+        """For `status`."""
+        at_ms = now_ms()
+        pair = self.pair
+        left_ms = pair.lease.until_ms() - at_ms
+        return {
+            "name": self._shape.name,
+            "state": pair.machine.state.value,
+            "taking": pair.may_take(at_ms),
+            "why_not": pair.why_not(at_ms),
+            "priority": pair.machine.priority,
+            "lease_left_ms": round(left_ms) if left_ms > 0 else 0,
+            "vote_of_ours": pair.voter.holder(at_ms) or "",
+            "heard_ms_ago": {name: round(at_ms - heard) for name, heard in pair.heard_ms.items()},
+            "vouched": sorted(pair.lease.vouched),
+            "transitions": dict(self.transitions),
+            "refused": {reason.value: n for reason, n in self.post.courier.refused.items()},
+            "faults": {fault.value: n for fault, n in self.faults.items()},
+        }
--- a/tests/vrrp/simulation.py
+++ b/tests/vrrp/simulation.py
@@ -14,12 +14,12 @@
 from random import Random
 from typing import Any
 
-from cloverrouter.vrrp.lease import Answer, Lease, Release, Request, Terms, Voter
-from cloverrouter.vrrp.machine import Advertise, Became, Heard, Machine, State
+from cloverrouter.vrrp.lease import Lease, Release, Request, Terms, Voter
+from cloverrouter.vrrp.machine import Advertise, Heard
+from cloverrouter.vrrp.pair import Out, Pair, Shape, Tell
 
 INTERVAL_CS = 10
 TERMS = Terms(promise_ms=300.0, drift=0.05)
-RENEW_MS = 90.0
 LENGTH_MS = 2600.0
 ADDRESSES = {"a": ip_address("127.1.0.1"), "b": ip_address("127.1.0.2")}
 
@@ -103,79 +103,58 @@
 
 
 class BoxNode(Node):
+    """Drives the same `Pair` that a real box runs."""
+
     def __init__(self, world: World, name: str, priority: int) -> None:
         super().__init__(world, name)
         self.life = 1
         self.priority = priority
-        self._make()
+        self._make(quiet=False)
 
-    def _make(self) -> None:
-        self.lease = self.world.parts.lease(self.name, self.life, self.world.weights, self.world.parts.terms)
-        self.machine = Machine(self.priority, INTERVAL_CS, ADDRESSES[self.name])
-        self.due_token = self.renew_token = 0
-        self.carry_out(self.machine.start(self.local))
+    def _make(self, quiet: bool) -> None:
+        parts, peer = self.world.parts, "b" if self.name == "a" else "a"
+        address = ADDRESSES[self.name]
+        shape = Shape(
+            self.name, peer, self.world.weights, self.priority, INTERVAL_CS, address, terms=parts.terms
+        )
+        self.pair = Pair(shape, self.life, self.local)
+        self.pair.lease = parts.lease(self.name, self.life, self.world.weights, parts.terms)
+        self.pair.voter = parts.voter(self.name, parts.terms, self.local)
+        if not quiet:
+            self.pair.voter._quiet_until_ms = float("-inf")
+        self.token = 0
+        self.carry_out(self.pair.start(self.local))
 
     @property
     def local(self) -> float:
         return self.clock.at(self.world.now_ms)
 
     def taking(self) -> bool:
-        return self.world.now_ms >= self.paused_until_ms and self.lease.may_take(self.local)
+        # By the lease alone: the role on top of it can only take away.
+        return self.world.now_ms >= self.paused_until_ms and self.pair.lease.may_take(self.local)
 
     def restart(self) -> None:
-        super().restart()
         self.life += self.world.random.choice((1, 1, -1))  # the clock it is read from may be set back
-        self._make()
+        self._make(quiet=True)
 
     def receive(self, source: str, message: Any) -> None:
-        if isinstance(message, Heard):
-            self.carry_out(self.machine.heard(self.local, message))
-        elif isinstance(message, Answer):
-            self.lease.answered(message)
-        else:
-            super().receive(source, message)
-
-    def carry_out(self, actions: list[Any]) -> None:
-        peer = "b" if self.name == "a" else "a"
-        for action in actions:
-            if isinstance(action, Advertise):
-                heard = Heard(action.priority, self.machine.interval_cs, ADDRESSES[self.name])
-                self.world.send(self.name, peer, heard)
-            elif isinstance(action, Became):
-                if action.after is State.ACTIVE:
-                    self.renew()
-                elif action.before is State.ACTIVE:
-                    self.to_voters(self.lease.release())
-        self.schedule()
-
-    def to_voters(self, message: Any) -> None:
-        for voter in self.world.weights:
-            if voter == self.name:
-                Node.receive(self, self.name, message)
-            else:
-                self.world.send(self.name, voter, message)
-
-    def schedule(self) -> None:
-        self.due_token += 1
-        token = self.due_token
-        if self.machine.due_ms is not None:
-            at_ms = max(self.world.now_ms, self.clock.true(self.machine.due_ms) + 1e-6)
-            self.world.at(at_ms, self, lambda: self.tick(token))
-
-    def tick(self, token: int) -> None:
-        if token == self.due_token:
-            self.carry_out(self.machine.tick(self.local))
+        if isinstance(message, Advertise):
+            message = Heard(message.priority, INTERVAL_CS, ADDRESSES[source])
+        self.carry_out(self.pair.heard(self.local, source, message))
 
-    def renew(self) -> None:
-        self.renew_token += 1
-        token = self.renew_token
+    def carry_out(self, out: list[Out]) -> None:
+        for action in out:
+            if isinstance(action, Tell):
+                self.world.send(self.name, action.target, action.message)
+        self.token += 1
+        token, due_ms = self.token, self.pair.due_ms()
 
-        def again() -> None:
-            if token == self.renew_token and self.machine.state is State.ACTIVE:
-                self.renew()
+        def tick() -> None:
+            if token == self.token:
+                self.carry_out(self.pair.tick(self.local))
 
-        self.to_voters(self.lease.request(self.local))
-        self.world.at(self.world.now_ms + RENEW_MS, self, again)
+        if due_ms is not None:
+            self.world.at(max(self.world.now_ms, self.clock.true(due_ms) + 1e-6), self, tick)
 
 
 class World:
@@ -256,13 +235,13 @@
 
     def _flap(self, node: BoxNode) -> None:
         node.priority = self.random.choice((50, 100, 200, 250))
-        node.carry_out(node.machine.set_priority(node.local, node.priority))
+        node.carry_out(node.pair.set_priority(node.local, node.priority))
 
     def _bounce(self, node: BoxNode) -> None:
         """Stopped and started again as the owner of the addresses: active at once."""
-        node.carry_out(node.machine.stop(node.local))
-        node.machine.priority = 255
-        node.carry_out(node.machine.start(node.local))
+        node.carry_out(node.pair.stop(node.local))
+        node.pair.machine.priority = 255
+        node.carry_out(node.pair.start(node.local))
 
     def run(self) -> World:
         """Raises `TwoTake`, with the seed, when the invariant is broken."""
