--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -130,7 +130,8 @@
         more = rest - statistics.median(idle[0])
         print(
             f"  {count} consoles: {cpu:.1f} us a request, {cpu / none:.3f} of none;"
-            f" idle {rest:.2f} ms a second: {more:.2f} ms more, {100 * more / (none * rate / 1000):.2f}% of what the load takes"
+            f" idle {rest:.2f} ms a second: {more:.2f} ms more,"
+            f" {100 * more / (none * rate / 1000):.2f}% of what the load takes"
         )
 
 
