--- a/cloverrouter/cli.py
+++ b/cloverrouter/cli.py
@@ -33,6 +33,13 @@
     check = words.add_parser("check", help="tell whether an operators' file is right, without starting")
     check.add_argument("file")
 
+    witness = words.add_parser("witness", help="be the third vote of a pair of boxes")
+    witness.add_argument("--listen", required=True, help="address:port to listen at")
+    witness.add_argument("--name", default="w", help="its name in the boxes' files (w)")
+    witness.add_argument("--box", action="append", default=[], help="name=address:port; twice")
+    witness.add_argument("--promise-ms", type=float, default=3000.0, help="as in the boxes' files (3000)")
+    witness.add_argument("--secret-file", help="the pair's secret")
+
     for word, text in (
         ("console", "watch a running proxy and give it commands, in a terminal"),
         ("ctl", "give a running proxy one command, and end"),
@@ -129,6 +136,10 @@
             from cloverrouter.proxy.__main__ import main as run
 
             return run(told.site)
+        case "witness":
+            from cloverrouter.vrrp.witness import main as witness
+
+            return witness(told.listen, told.name, told.box, told.promise_ms, told.secret_file)
         case "demo":
             from cloverrouter.demo.launch import main as demo
 
--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -9,21 +9,26 @@
 import logging
 import secrets
 import time
+from collections.abc import Callable, Mapping
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 from cloverrouter.control import Book, ControlError, Events, Server
 from cloverrouter.control import tell as telling
 from cloverrouter.control.tell import Listed, Sources
 from cloverrouter.interface import ListKind
-from cloverrouter.proxy.config import Config, HostList, StartError
+from cloverrouter.proxy.config import Config, HostList, StartError, read_address
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.node import Node
 from cloverrouter.roster import Keeper
 from cloverrouter.roster.guard import condition
 from cloverrouter.roster.overlay import Drain
-from cloverrouter.seams import Commands, Json
+from cloverrouter.seams import Argument, Command, CommandError, Commands, Json, Operator
 from cloverrouter.site import Site, SiteError, check
 
+if TYPE_CHECKING:
+    from cloverrouter.vrrp.shell import Box
+
 TICK_S = 1.0
 log = logging.getLogger(__name__)
 
@@ -35,7 +40,7 @@
 
 def descriptors(site: Site) -> int:
     """How many descriptors the appliance may hold, which requests then can't."""
-    return site.control.clients + 4 if site.control.enabled else 0
+    return (site.control.clients + 4 if site.control.enabled else 0) + (1 if site.vrrp.enabled else 0)
 
 
 class Alarms:
@@ -62,6 +67,7 @@
         self._alarms = Alarms()
         self._boot = secrets.token_hex(4)
         self._server: Server | None = None
+        self._box: Box | None = None
         self._tick: asyncio.TimerHandle | None = None
         self._events = Events(_now_ms)
         folder = None
@@ -81,9 +87,11 @@
     def listed(self, kind: ListKind, found: HostList) -> None:
         self.keeper.listed(kind, found)
 
-    def start(self, frontend: Frontend) -> None:
-        """Open the control socket. Raises `StartError`."""
+    async def start(self, frontend: Frontend) -> None:
+        """Open the pair's and the control socket. Raises `StartError`."""
         settings = self._told.settings
+        if self._site.vrrp.enabled:
+            self._box = await self._pair(frontend)
         if not self._site.control.enabled:
             return
         names = [cls.name for cls in settings.classes]
@@ -106,6 +114,8 @@
         )
         commands = Commands()
         commands.add(*telling.commands(sources, commands), *self.keeper.commands())
+        if self._box is not None:
+            commands.add(vrrp_command(self._box, self._event))
         control = self._site.control
         self._server = Server(
             self._told.name,
@@ -123,6 +133,30 @@
         log.info("control: listens at %s", control.socket)
         self._on_tick()
 
+    async def _pair(self, frontend: Frontend) -> Box:
+        # Imported here: a box that is no member of a pair loads nothing of it.
+        from cloverrouter.vrrp.compose import make_box
+
+        def changed(taking: bool) -> None:
+            frontend.refusing = not taking
+            if not taking:
+                frontend.close_idle()  # clients look for the box that takes
+
+        frontend.refusing = True
+        vrrp = self._site.vrrp
+        try:
+            box = make_box(vrrp, changed, lambda text: self._event("vrrp", {"text": text}), self._alarms.set)
+            self._node.admission = box
+            await box.open(read_address(vrrp.listen))
+        except (OSError, ValueError) as error:
+            raise StartError(f"[vrrp]: {error}") from error
+        return box
+
+    def leave(self) -> None:
+        """The proxy is about to end: the other box of a pair may take from here on."""
+        if self._box is not None:
+            self._box.hand_over()
+
     def _roster(self) -> list[Listed]:
         overlay = self.keeper.overlay
         found = []
@@ -141,11 +175,53 @@
     async def close(self) -> None:
         if self._tick is not None:
             self._tick.cancel()
+        if self._box is not None:
+            self._box.close()
         if self._server is not None:
             self._server.close()
         await self.keeper.close()
 
 
+def vrrp_command(box: Box, event: Callable[[str, Json], None]) -> Command:
+    """`vrrp status`, `handover`, `resume` and `alone`."""
+
+    def run(who: Operator, told: Mapping[str, Any]) -> Json:
+        before = box.told()
+        match told["action"]:
+            case "status":
+                return before
+            case "handover":
+                box.hand_over()
+            case "resume":
+                box.resume()
+            case "alone":
+                if told["confirm"] != "off":
+                    raise CommandError(
+                        "not_confirmed",
+                        "alone is for a peer that is switched off: if it is not, both boxes may take work",
+                        "switch it off, then say: vrrp alone confirm=off",
+                    )
+                box.vouch()
+            case other:
+                right = "status, handover, resume or alone"
+                raise CommandError("bad_argument", f"action is {other!r}", right)
+        after = box.told()
+        log.warning("vrrp %s by %s: %s -> %s", told["action"], who, before["state"], after["state"])
+        event("vrrp", {"text": f"{told['action']} by {who}: {before['state']} -> {after['state']}"})
+        return {**after, "by": str(who), "before": before["state"], "at_ms": _now_ms()}
+
+    return Command(
+        "vrrp",
+        "The pair: role, votes and reasons; hand over, resume, or go alone.",
+        run,
+        (
+            Argument("action", str, "status, handover, resume or alone", required=True),
+            Argument("confirm", str, "off: the peer is switched off"),
+        ),
+        changes=True,
+    )
+
+
 def _told(drain: Drain | None) -> Json | None:
     if drain is None:
         return None
--- a/cloverrouter/console/text.py
+++ b/cloverrouter/console/text.py
@@ -179,6 +179,22 @@
     return lines
 
 
+def vrrp_lines(told: Json) -> list[str]:
+    """The pair: role, right to take, votes, and what was turned away."""
+    takes = "takes work" if told["taking"] else f"takes nothing: {plain(told['why_not'])}"
+    heard = ", ".join(f"{plain(name)} {span(ms / 1000)} ago" for name, ms in told["heard_ms_ago"].items())
+    lines = [
+        f"{plain(told['name'])}: {told['state']}, priority {told['priority']}, {takes}",
+        f"lease left {told['lease_left_ms']} ms; our vote is {plain(told['vote_of_ours'] or 'free')}"
+        f"; heard {heard or 'nobody'}",
+    ]
+    counts = {**told["transitions"], **told["refused"], **told["faults"]}
+    lines += [f"{count:>6}  {plain(what)}" for what, count in counts.items()]
+    if told["vouched"]:
+        lines.append(f"an operator says that {', '.join(map(plain, told['vouched']))} is off")
+    return lines
+
+
 def answer_lines(do: str, result: Json, now_ms: float) -> list[str]:
     """Any command's result as text."""
     match do:
@@ -198,6 +214,8 @@
             return [EVENTS_HEAD, *(event_line(event) for event in result["events"])]
         case "help":
             return help_lines(result["commands"])
+        case "vrrp":
+            return vrrp_lines(result)
         case "drain" | "restore":
             return [change_line(result)]
     return [plain(result)]
--- a/cloverrouter/control/book.py
+++ b/cloverrouter/control/book.py
@@ -126,6 +126,16 @@
         ended = Ended(self._clock(), request_id, call.class_name, final, text, took_ms, tuple(trail))
         (self.failures if final is Final.FAILED else self.refusals).append(ended)
 
+    def not_taken(self, call: Call, why: str) -> None:
+        count = self._class(call.class_name)
+        count.taken += 1
+        count.finals[Final.REFUSED] += 1
+        # The text may hold figures that change: by its first part it is one reason.
+        text = why.partition(":")[0]
+        count.whys[Final.REFUSED, text] += 1
+        request_id = call.request_id.decode("ascii", "replace")
+        self.refusals.append(Ended(self._clock(), request_id, call.class_name, Final.REFUSED, why, 0.0, ()))
+
     def turned_away(self, status: int) -> None:
         self.turned[status] += 1
 
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -74,13 +74,15 @@
     classes = {cls.name: cls.idempotency for cls in told.settings.classes}
     frontend = Frontend(node, classes, sockets // 2)
     if appliance is not None:
-        appliance.start(frontend)
+        await appliance.start(frontend)
     await frontend.listen(told.listen)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     log.info("%s serves at %s:%d", told.name, *told.listen)
 
     await stop.wait()
+    if appliance is not None:
+        appliance.leave()
     if not crashes:
         await drain(frontend, node)
     watch.stop()
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -317,7 +317,8 @@
         self.since_s = self._frontend.loop.time()
         # In a drain what waits has been taken, too: the connection ends with the last of it.
         close = not call.keep_alive or (
-            not self._waiting and (self._frontend.stopping or self._frontend.many_idle)
+            not self._waiting
+            and (self._frontend.stopping or self._frontend.refusing or self._frontend.many_idle)
         )
         self._transport.write(encode(status, body, headers, close))
         if close:
@@ -413,6 +414,7 @@
         self.handler = handler
         self.classes = classes
         self.stopping = False
+        self.refusing = False  # nothing is taken for now: answers end their connection, clients are to move
         self.observer: Observer | None = None
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.waiting_ids: set[bytes] = set()
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -36,6 +36,7 @@
     TimerFired,
     Why,
 )
+from cloverrouter.proxy.admission import Admission
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.observer import Final, Observer, Tried
@@ -137,6 +138,7 @@
         self._now_ms = 0.0
         self._lag = LagMeter()
         self.observer: Observer | None = None
+        self.admission: Admission | None = None
 
     # The module's clock, events and actions
 
@@ -213,7 +215,7 @@
     # Calls
 
     def ready(self) -> bool:
-        return bool(self._addresses)
+        return bool(self._addresses) and (self.admission is None or not self.admission.refusal())
 
     @property
     def busy(self) -> bool:
@@ -224,6 +226,12 @@
         return request_id in self._ids
 
     def arrived(self, call: Call) -> None:
+        if self.admission is not None and (why := self.admission.refusal()):
+            # Asked here and now, by the clock: no timer that may be late stands between this and the taking.
+            call.refused(self.admission.retry_after_ms())
+            if self.observer is not None:
+                self.observer.not_taken(call, why)
+            return
         self._last_id += 1
         deadline_ms = None
         if call.timeout_ms is not None:
--- a/cloverrouter/proxy/observer.py
+++ b/cloverrouter/proxy/observer.py
@@ -47,5 +47,8 @@
     def turned_away(self, status: int) -> None:
         """What can't be valid was answered with `status`; the module never saw it."""
 
+    def not_taken(self, call: Call, why: str) -> None:
+        """Refused before the module saw it, and why."""
+
     def said(self, text: str) -> None:
         """The module said something for the log."""
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -11,6 +11,7 @@
 import os
 import stat
 import tomllib
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -46,9 +47,41 @@
     directory: Folder = "/var/lib/cloverrouter"
 
 
+Member = Annotated[
+    str, Meta(pattern="^[A-Za-z0-9._-]{1,32}$", description="1 to 32 letters, digits or . _ -")
+]
+Weight = Annotated[int, Meta(ge=1, le=9, description="a whole number from 1 to 9")]
+
+
+class Vrrp(Struct, frozen=True):
+    """`[vrrp]`: this box is one of a pair, of which at most one takes work."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    name: Member = "a"
+    listen: Annotated[str, Meta(description="an address such as 10.0.0.1:8112")] = "127.0.0.1:8112"
+    peer: Member = "b"
+    peer_address: Annotated[str, Meta(description="an address such as 10.0.0.2:8112")] = "127.0.0.2:8112"
+    witness: Annotated[
+        str, Meta(pattern="^[A-Za-z0-9._-]{0,32}$", description="up to 32 letters, digits or . _ -")
+    ] = ""
+    witness_address: Annotated[str, Meta(description="an address such as 10.0.0.3:8112")] = ""
+    vrid: Annotated[int, Meta(ge=1, le=255, description="a whole number from 1 to 255")] = 1
+    priority: Annotated[int, Meta(ge=1, le=255, description="a whole number from 1 to 255")] = 100
+    interval_cs: Annotated[int, Meta(ge=1, le=4095, description="centiseconds from 1 to 4095")] = 100
+    preempt: Annotated[bool, Meta(description="true or false")] = True
+    addresses: Annotated[
+        tuple[str, ...], Meta(max_length=16, description="a list of up to 16 addresses")
+    ] = ()
+    weight: Weight = 1
+    peer_weight: Weight = 1
+    promise_ms: Annotated[int, Meta(ge=100, le=60_000, description="milliseconds from 100 to 60000")] = 3000
+    secret_file: Annotated[str, Meta(max_length=4096, description="a file's absolute path, or empty")] = ""
+
+
 class Site(Struct, frozen=True):
     control: Control = Control()
     state: State = State()
+    vrrp: Vrrp = Vrrp()
 
 
 class Fault(Struct, frozen=True):
@@ -118,12 +151,55 @@
         if not folder.startswith("/"):
             right = "must be an absolute path: the program may be started anywhere"
             faults.append(Fault(f"{name}.directory", f"is {folder!r}", right))
+    faults += _vrrp_faults(site.vrrp)
     if len(os.fsencode(site.control.socket)) > MOST_PATH:
         text = f"is too long: the socket's path would have {len(os.fsencode(site.control.socket))} bytes"
         faults.append(Fault("control.directory", text, f"at most {MOST_PATH} with /{SOCKET}"))
     return (None if faults else site), faults
 
 
+def _is_address(text: str, port: bool) -> bool:
+    host, colon, number = text.rpartition(":") if port else (text, ":", "1")
+    try:
+        ip_address(host)
+        return bool(colon) and 0 < int(number) < 65536
+    except ValueError:
+        return False
+
+
+def _vrrp_faults(vrrp: Vrrp) -> list[Fault]:
+    faults = []
+    for key in ("listen", "peer_address", *(["witness_address"] if vrrp.witness else [])):
+        if not _is_address(getattr(vrrp, key), port=True):
+            right = "must be an address and a port, such as 10.0.0.1:8112; there are no look-ups"
+            faults.append(Fault(f"vrrp.{key}", f"is {getattr(vrrp, key)!r}", right))
+    for address in vrrp.addresses:
+        if not _is_address(address, port=False):
+            right = "must be addresses such as 10.0.0.9"
+            faults.append(Fault("vrrp.addresses", f"has {address!r}", right))
+    if len({vrrp.name, vrrp.peer, vrrp.witness}) < 3:
+        right = "each member needs a name of its own"
+        faults.append(Fault("vrrp.peer", f"{vrrp.peer!r} is another's name, too", right))
+    if vrrp.enabled and not vrrp.witness and vrrp.weight == vrrp.peer_weight:
+        right = "name a witness, or let one box's vote weigh more: else neither takes without the other"
+        faults.append(Fault("vrrp.weight", "both boxes' votes weigh the same and there is no witness", right))
+    if vrrp.witness and vrrp.weight != vrrp.peer_weight:
+        faults.append(Fault("vrrp.weight", "differs from peer_weight", "with a witness all votes weigh 1"))
+    if vrrp.secret_file and not vrrp.secret_file.startswith("/"):
+        faults.append(Fault("vrrp.secret_file", f"is {vrrp.secret_file!r}", "must be an absolute path"))
+    return faults
+
+
+def secret_of(vrrp: Vrrp) -> bytes | None:
+    """The pair's secret, the line feed at its end left out. Raises OSError, ValueError if it is too short."""
+    if not vrrp.secret_file:
+        return None
+    secret = Path(vrrp.secret_file).read_bytes().strip()
+    if len(secret) < 16:
+        raise ValueError(f"{vrrp.secret_file}: a secret has at least 16 bytes")
+    return secret
+
+
 def load(path: str) -> Site:
     """Raises `SiteError` for a file that is missing, too large, or wrong in any way."""
     try:
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -9,7 +9,7 @@
 from tests.sockets import Discovery, Host, Proxy, running
 from tests.standins.appliance import boxed
 
-DIRECTIONS = ("site", "roster", "control", "console", "demo", "compose", "seams", "cli")
+DIRECTIONS = ("site", "roster", "control", "console", "demo", "vrrp", "compose", "seams", "cli")
 
 
 def modules(log: str) -> set[str]:
