--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from cloverrouter.vrrp.shell import Box
+    from cloverrouter.vrrp.tracking import Fault
 
 TICK_S = 1.0
 log = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
         self._boot = secrets.token_hex(4)
         self._server: Server | None = None
         self._box: Box | None = None
+        self._frontend: Frontend | None = None
         self._tick: asyncio.TimerHandle | None = None
         self._events = Events(_now_ms)
         folder = None
@@ -89,9 +91,15 @@
 
     async def start(self, frontend: Frontend) -> None:
         """Open the pair's and the control socket. Raises `StartError`."""
-        settings = self._told.settings
         if self._site.vrrp.enabled:
             self._box = await self._pair(frontend)
+            self._frontend = frontend
+        self._open_control(frontend)
+        if self._book is not None or self._box is not None:
+            self._on_tick()
+
+    def _open_control(self, frontend: Frontend) -> None:
+        settings = self._told.settings
         if not self._site.control.enabled:
             return
         names = [cls.name for cls in settings.classes]
@@ -131,7 +139,6 @@
         except ControlError as error:
             raise StartError(f"[control]: {error}") from error
         log.info("control: listens at %s", control.socket)
-        self._on_tick()
 
     async def _pair(self, frontend: Frontend) -> Box:
         # Imported here: a box that is no member of a pair loads nothing of it.
@@ -152,6 +159,17 @@
             raise StartError(f"[vrrp]: {error}") from error
         return box
 
+    def _faults(self, frontend: Frontend) -> frozenset[Fault]:
+        from cloverrouter.vrrp.tracking import Fault
+
+        view = self._node.view()
+        found = {
+            Fault.NO_SERVER: not any(endpoint.healthy for endpoint in view.endpoints),
+            Fault.DISCOVERY: view.discovery_lost,
+            Fault.DESCRIPTORS: frontend.nearly_full,
+        }
+        return frozenset(fault for fault, there in found.items() if there)
+
     def leave(self) -> None:
         """The proxy is about to end: the other box of a pair may take from here on."""
         if self._box is not None:
@@ -168,8 +186,10 @@
         return found
 
     def _on_tick(self) -> None:
-        assert self._book is not None
-        self._book.tick(self.keeper.overlay.told)
+        if self._book is not None:
+            self._book.tick(self.keeper.overlay.told)
+        if self._box is not None and self._frontend is not None:
+            self._box.track(self._faults(self._frontend))
         self._tick = asyncio.get_running_loop().call_later(TICK_S, self._on_tick)
 
     async def close(self) -> None:
--- a/cloverrouter/console/text.py
+++ b/cloverrouter/console/text.py
@@ -183,8 +183,9 @@
     """The pair: role, right to take, votes, and what was turned away."""
     takes = "takes work" if told["taking"] else f"takes nothing: {plain(told['why_not'])}"
     heard = ", ".join(f"{plain(name)} {span(ms / 1000)} ago" for name, ms in told["heard_ms_ago"].items())
+    lowered = f" ({plain(', '.join(told['priority_why']))})" if told["priority_why"] else ""
     lines = [
-        f"{plain(told['name'])}: {told['state']}, priority {told['priority']}, {takes}",
+        f"{plain(told['name'])}: {told['state']}, priority {told['priority']}{lowered}, {takes}",
         f"lease left {told['lease_left_ms']} ms; our vote is {plain(told['vote_of_ours'] or 'free')}"
         f"; heard {heard or 'nobody'}",
     ]
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -497,6 +497,11 @@
         """Connections of clients that are open."""
         return len(self._connections)
 
+    @property
+    def nearly_full(self) -> bool:
+        """Do clients hold nine tenths of the descriptors that they may?"""
+        return len(self._connections) * 10 >= self._most_open * 9
+
     def knows(self, request_id: bytes) -> bool:
         return request_id in self.waiting_ids or self.handler.is_open(request_id)
 
--- a/cloverrouter/vrrp/pair.py
+++ b/cloverrouter/vrrp/pair.py
@@ -14,6 +14,7 @@
 from cloverrouter.vrrp.machine import Address, Advertise, Became, Heard, Machine, State
 
 RENEWALS = 3.3  # in the time of one promise: two may be lost
+LEAVING_MS = 500.0  # beyond the longest Skew_Time: by then the other has asked, or is not there
 RETRY_MS = 50.0  # while a vote is denied to a box that is active and may not take
 
 
@@ -52,20 +53,22 @@
         self.voter = Voter(shape.name, shape.terms, now_ms)
         self.heard_ms: dict[str, float] = {}  # when each of the others was last heard
         self._renew_ms: float | None = None
+        self._leaving_until_ms: float | None = None  # handing over: it still takes, until the other asks
 
     # What may be done
 
     def may_take(self, now_ms: float) -> bool:
-        return self.machine.state is State.ACTIVE and self.lease.may_take(now_ms)
+        wants = self.machine.state is State.ACTIVE or self._leaving_until_ms is not None
+        return wants and self.lease.may_take(now_ms)
 
     def why_not(self, now_ms: float) -> str:
         """Why work is not taken, for clients' owners and operators; empty if it is."""
+        if self.may_take(now_ms):
+            return ""
         if self.machine.state is State.INITIALIZE:
             return "not started, or leaving"
         if self.machine.state is State.BACKUP:
             return f"backup: {self.shape.peer} is to take"
-        if self.lease.may_take(now_ms):
-            return ""
         lacking = []
         for voter in self.shape.weights:
             denied = self.lease.denied.get(voter)
@@ -78,20 +81,40 @@
 
     def due_ms(self) -> float | None:
         """When `tick` is to be called at the latest."""
-        times = [t for t in (self.machine.due_ms, self._renew_ms) if t is not None]
+        times = [t for t in (self.machine.due_ms, self._renew_ms, self._leaving_until_ms) if t is not None]
         return min(times, default=None)
 
     # What happens
 
     def start(self, now_ms: float) -> list[Out]:
-        return self._follow(now_ms, self.machine.start(now_ms))
+        return self._left(now_ms) + self._follow(now_ms, self.machine.start(now_ms))
 
     def stop(self, now_ms: float) -> list[Out]:
-        """Leave in an orderly way: the last work has been taken, the other may begin at once."""
+        """Leave at once: the last work has been taken, the other may begin."""
+        return self._left(now_ms) + self._follow(now_ms, self.machine.stop(now_ms))
+
+    def hand_over(self, now_ms: float) -> list[Out]:
+        """Leave without a gap: priority 0 tells the other, and work is taken until it asks for the votes.
+
+        The other waits for Skew_Time before it asks (section 6.4.2). Taking on until then is safe by the
+        lease, which is given up in the step in which the other's request comes, or after a while without one.
+        """
+        if not self.may_take(now_ms) or self.machine.state is not State.ACTIVE:
+            return self.stop(now_ms)
+        self._leaving_until_ms = now_ms + self.machine.interval_cs * 10 + LEAVING_MS
         return self._follow(now_ms, self.machine.stop(now_ms))
 
+    def _left(self, now_ms: float) -> list[Out]:
+        """Handing over is done: from here on nothing is taken."""
+        if self._leaving_until_ms is None:
+            return []
+        self._leaving_until_ms = self._renew_ms = None
+        return self._to_voters(now_ms, self.lease.release())
+
     def tick(self, now_ms: float) -> list[Out]:
         out = self._follow(now_ms, self.machine.tick(now_ms))
+        if self._leaving_until_ms is not None and now_ms >= self._leaving_until_ms:
+            out += self._left(now_ms)
         if self._renew_ms is not None and now_ms >= self._renew_ms:
             out += self._renew(now_ms)
         return out
@@ -106,8 +129,14 @@
         if isinstance(message, Heard):
             return self._follow(now_ms, self.machine.heard(now_ms, message))
         if isinstance(message, Request | Release):
+            # The other asks: it wants to take now, and this box was only waiting for that.
+            out = self._left(now_ms) if isinstance(message, Request) and source == self.shape.peer else []
             answer = self.voter.handle(now_ms, message)
-            return [] if answer is None else [Tell(source, answer)]
+            if answer is not None:
+                out.append(Tell(source, answer))
+            if isinstance(message, Release) and self._renew_ms is not None and not self.may_take(now_ms):
+                out += self._renew(now_ms)  # this box's own vote has become free, and was what it lacked
+            return out
         self.lease.answered(message)
         if isinstance(message, Deny) and self._renew_ms is not None and not self.may_take(now_ms):
             self._renew_ms = min(self._renew_ms, now_ms + max(1.0, min(RETRY_MS, message.left_ms)))
@@ -129,7 +158,7 @@
             out.append(action)
             if action.after is State.ACTIVE:
                 out += self._renew(now_ms)
-            elif action.before is State.ACTIVE:
+            elif action.before is State.ACTIVE and self._leaving_until_ms is None:
                 # At once, in the same step: from here on nothing is taken, and the other need not wait.
                 self._renew_ms = None
                 out += self._to_voters(now_ms, self.lease.release())
--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -16,8 +16,9 @@
 
 from cloverrouter.vrrp import packet
 from cloverrouter.vrrp.lease import Release, Request, Terms, Voter
-from cloverrouter.vrrp.machine import Advertise, Became, Heard, State
+from cloverrouter.vrrp.machine import Advertise, Became, Heard
 from cloverrouter.vrrp.pair import Out, Pair, Shape
+from cloverrouter.vrrp.tracking import Fault, Tracking
 from cloverrouter.vrrp.wire import (
     BadDatagram,
     Courier,
@@ -146,6 +147,7 @@
         self.pair = Pair(shape, life, now_ms())
         self.faults: Counter[packet.Fault] = Counter()
         self.transitions: Counter[str] = Counter()
+        self.tracking = Tracking(shape.priority)
         self._peer_address = ip_address(addresses[shape.peer][0])
         self.post = Post(Courier(shape.name, life, frozenset(addresses), secret), addresses, self._received)
         self._timer: asyncio.TimerHandle | None = None
@@ -251,19 +253,27 @@
     def _tick(self) -> None:
         self._carry_out(self.pair.tick(now_ms()))
 
+    def track(self, faults: frozenset[Fault]) -> None:
+        """What is wrong with this box at this moment; called about once a second."""
+        before, after = self.pair.machine.priority, self.tracking.look(now_ms(), faults)
+        if after != before:
+            why = ", ".join(fault.value for fault in self.tracking.counting) or "all is well again"
+            log.warning("vrrp: priority %d -> %d: %s", before, after, why)
+            self._event(f"priority {before} -> {after}: {why}")
+            self._carry_out(self.pair.set_priority(now_ms(), after))
+
     def vouch(self) -> None:
         self._carry_out(self.pair.vouch(now_ms()))
 
     def hand_over(self) -> None:
-        """Stop in an orderly way: priority 0, and the votes given back, in this step."""
-        self._carry_out(self.pair.stop(now_ms()))
+        """Stop in an orderly way: priority 0 now, and the votes given back when the other asks for them."""
+        self._carry_out(self.pair.hand_over(now_ms()))
 
     def resume(self) -> None:
         self._carry_out(self.pair.start(now_ms()))
 
     def close(self) -> None:
-        if self.pair.machine.state is not State.INITIALIZE:
-            self.hand_over()
+        self._carry_out(self.pair.stop(now_ms()))
         self._stopped = True
         if self._timer is not None:
             self._timer.cancel()
@@ -280,6 +290,7 @@
             "taking": pair.may_take(at_ms),
             "why_not": pair.why_not(at_ms),
             "priority": pair.machine.priority,
+            "priority_why": [fault.value for fault in self.tracking.counting],
             "lease_left_ms": round(left_ms) if left_ms > 0 else 0,
             "vote_of_ours": pair.voter.holder(at_ms) or "",
             "heard_ms_ago": {name: round(at_ms - heard) for name, heard in pair.heard_ms.items()},
--- a/tests/vrrp/simulation.py
+++ b/tests/vrrp/simulation.py
@@ -239,7 +239,14 @@
 
     def _bounce(self, node: BoxNode) -> None:
         """Stopped and started again as the owner of the addresses: active at once."""
-        node.carry_out(node.pair.stop(node.local))
+        leave = self.random.choice((node.pair.stop, node.pair.hand_over))
+        node.carry_out(leave(node.local))
+        if self.random.random() < 0.5:
+            self.at(self.now_ms + self.random.uniform(0, 300), node, partial(self._start, node))
+            return
+        self._start(node)
+
+    def _start(self, node: BoxNode) -> None:
         node.pair.machine.priority = 255
         node.carry_out(node.pair.start(node.local))
 
--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -120,7 +120,7 @@
     members = []
     async with AsyncExitStack() as stack:
         for name, listen, peer_address, priority in (
-            ("a", at_a, relay.for_a, 200), ("b", at_b, relay.for_b, 100),
+            ("a", at_a, relay.for_a, 150), ("b", at_b, relay.for_b, 100),
         ):  # fmt: skip
             own = folder / name
             own.mkdir()
@@ -238,6 +238,42 @@
     asyncio.run(scene())
 
 
+def test_handover_under_load_leaves_next_to_no_gap(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            async with load(p):
+                await served_on(p)
+                await p.a.do("handover")
+                await p.until(b_takes)
+                await served_on(p)
+            # a took until b asked: far less than the Skew_Time for which b waits first.
+            end = p.a.times()[-1][1]
+            begin = float(TAKES.findall(p.b.proxy.log())[-1])
+            skew_ms = (256 - 100) * INTERVAL_CS * 10 / 256
+            assert 0 <= begin - end < skew_ms / 2
+
+    asyncio.run(scene())
+
+
+def test_box_without_servers_gives_way_and_a_short_fault_does_not(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            line = await p.a.box.line()
+            for name in ("s-1", "s-2", "s-3"):
+                await line.result("drain", server=name, confirm=name)
+            for name in ("s-1", "s-2", "s-3"):
+                await line.result("restore", server=name)
+            for name in ("s-1", "s-2", "s-3"):
+                await line.result("drain", server=name, confirm=name)
+            await p.until(b_takes)
+            told = await p.a.told()
+            assert told["priority"] == 50 and told["priority_why"] == ["no server can take work"]
+
+    asyncio.run(scene())
+
+
 def test_killed_active_is_followed_by_the_other(tmp_path: Any) -> None:
     async def scene() -> None:
         async with pair(tmp_path) as p:
