VRRP: strangers and wrong secrets said in clear words, the role on the console

A third box with the pair's own secret and priority 255 changes nothing (tested on real sockets). The console's third line shows the role.

--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -116,6 +116,7 @@
             lambda: frontend.count,
             lambda: frontend.stopping,
             self._alarms.texts,
+            lambda: None if self._box is None else self._box.role(),
             settings.report_fields,
             book,
             self._events,
--- a/cloverrouter/console/session.py
+++ b/cloverrouter/console/session.py
@@ -277,8 +277,12 @@
         if self._status["stopping"]:
             alarms = ["the proxy is ending", *alarms]
         at = text.clock(self._now_ms)
+        pair = self._status.get("pair")
+        if pair is not None:
+            role = "active, takes work" if pair["taking"] else text.plain(pair["why_not"])
+            at = f"{at} [{role}]"
         if not alarms:
-            return Row(f"{at} all is well")
+            return Row(f"{at} all is well"[:width])
         more = f" (and {len(alarms) - 1} more: status)" if len(alarms) > 1 else ""
         return Row(f"{at} ALARM{more}: {text.plain(alarms[0])}"[:width])
 
--- a/cloverrouter/control/tell.py
+++ b/cloverrouter/control/tell.py
@@ -43,6 +43,7 @@
     clients: Callable[[], int]  # connections of clients that are open
     stopping: Callable[[], bool]
     alarms: Callable[[], list[str]]
+    pair: Callable[[], Json | None]  # the role of a box of a pair; None: it is none
     report_fields: tuple[str, ...]
     book: Book
     events: Events
@@ -82,6 +83,7 @@
         "retry_tokens": round(view.retry_tokens, 1),
         "discovery": "lost" if view.discovery_lost else "well",
         "alarms": alarms,
+        "pair": sources.pair(),
         "last_event": sources.events.last,
         **totals(sources),
     }
--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -32,6 +32,11 @@
 SocketAddress = tuple[str, int]
 HELLO_EVERY_MS = 100.0  # at most, to each: a flood of strange echoes is not answered one by one
 RETRY_AFTER_MS = 1000.0
+STRANGE_MS = 60_000.0  # without another, then the alarm ends
+STRANGERS = {
+    Reason.CODE: "the pair is set up wrongly: datagrams come with another secret; give all members the same",
+    Reason.SENDER: "datagrams come from no member of the pair: a third box, or a wrong peer_address",
+}
 log = logging.getLogger(__name__)
 
 
@@ -148,6 +153,7 @@
         self.faults: Counter[packet.Fault] = Counter()
         self.transitions: Counter[str] = Counter()
         self.tracking = Tracking(shape.priority)
+        self._strange: dict[Reason, tuple[int, float]] = {}  # how many, and when it last rose
         self._peer_address = ip_address(addresses[shape.peer][0])
         self.post = Post(Courier(shape.name, life, frozenset(addresses), secret), addresses, self._received)
         self._timer: asyncio.TimerHandle | None = None
@@ -202,6 +208,9 @@
         )
         if fault is not None and fault is not packet.Fault.ADDRESSES:
             return
+        if told.priority == own.priority:
+            text = f"both boxes have priority {own.priority}; give the one that is to be active the higher"
+            self._alarm("vrrp", f"the pair is set up wrongly: {text}")
         if told.interval_cs != own.interval_cs and told.priority:
             text = f"the peer advertises every {told.interval_cs} cs, this box every {own.interval_cs}"
             self._alarm("vrrp", f"the pair is set up wrongly: {text}")
@@ -255,6 +264,7 @@
 
     def track(self, faults: frozenset[Fault]) -> None:
         """What is wrong with this box at this moment; called about once a second."""
+        self._look_for_strangers()
         before, after = self.pair.machine.priority, self.tracking.look(now_ms(), faults)
         if after != before:
             why = ", ".join(fault.value for fault in self.tracking.counting) or "all is well again"
@@ -262,6 +272,16 @@
             self._event(f"priority {before} -> {after}: {why}")
             self._carry_out(self.pair.set_priority(now_ms(), after))
 
+    def _look_for_strangers(self) -> None:
+        """Datagrams that are turned away for what an operator can mend are said in clear words."""
+        at_ms, refused = now_ms(), self.post.courier.refused
+        for reason, text in STRANGERS.items():
+            if refused[reason] > self._strange.get(reason, (0, 0.0))[0]:
+                self._strange[reason] = (refused[reason], at_ms)
+                self._alarm(f"vrrp {reason.name}", text)
+            elif reason in self._strange and at_ms - self._strange[reason][1] > STRANGE_MS:
+                self._alarm(f"vrrp {reason.name}", None)
+
     def vouch(self) -> None:
         self._carry_out(self.pair.vouch(now_ms()))
 
@@ -279,6 +299,15 @@
             self._timer.cancel()
         self.post.close()
 
+    def role(self) -> dict[str, object]:
+        """In a few words: what this box is, and whether it takes work."""
+        at_ms = now_ms()
+        return {
+            "state": self.pair.machine.state.value,
+            "taking": self.pair.may_take(at_ms),
+            "why_not": self.pair.why_not(at_ms),
+        }
+
     def told(self) -> dict[str, object]:
         """For `status`."""
         at_ms = now_ms()
--- a/tests/console/test_session.py
+++ b/tests/console/test_session.py
@@ -186,6 +186,13 @@
     assert "ALARM (and 1 more: status): no server can take work" in shown(session)
 
 
+def test_box_of_a_pair_shows_its_role() -> None:
+    session = online(pair={"state": "active", "taking": True, "why_not": ""})
+    assert "[active, takes work] all is well" in shown(session)
+    session = online(pair={"state": "backup", "taking": False, "why_not": "backup: a is to take"})
+    assert "[backup: a is to take]" in shown(session)
+
+
 def test_lines_that_matter_fit_eighty_columns() -> None:
     from cloverrouter.console import text
 
--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from itertools import pairwise
 from random import Random
 from typing import Any
@@ -18,7 +19,9 @@
 import pytest
 
 from cloverrouter.vrrp.lease import Terms
+from cloverrouter.vrrp.packet import Advertisement, encode
 from cloverrouter.vrrp.shell import Witness
+from cloverrouter.vrrp.wire import Courier, Kind
 from tests.sockets import LONG_S, Discovery, Host, Proxy, running
 from tests.standins.appliance import Box
 from tests.standins.offices import Account, working_host
@@ -387,6 +390,56 @@
     asyncio.run(scene())
 
 
+def test_third_box_and_forged_datagrams_change_nothing_and_are_said(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            told = await p.a.told()
+            target = re.search(r'listen = "([\d.]+):(\d+)"', p.a.box.file.read_text())
+            assert target is not None
+            where = (target[1], int(target[2]))
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as third:
+                third.bind(("127.77.0.30", 0))
+                # A third box of the same virtual router, with the secret and the highest priority.
+                courier = Courier("b", 9, frozenset({"a"}), SECRET)
+                vip, own = ip_address("127.9.9.9"), ip_address("127.77.0.30")
+                packet = encode(Advertisement(1, 255, INTERVAL_CS, (vip,)), own, ip_address(where[0]))
+                for _ in range(50):
+                    third.sendto(courier.wrap("a", Kind.ADVERTISEMENT, packet), where)
+                    third.sendto(b"noise", where)
+            line = await p.a.box.line()
+            async with asyncio.timeout(LONG_S):
+                while not any("third box" in a for a in (await line.result("status"))["alarms"]):
+                    await asyncio.sleep(0.1)
+            after = await p.a.told()
+            assert after["taking"] and after["transitions"] == told["transitions"]
+            assert after["refused"]["of nobody who is configured"] == 100
+
+    asyncio.run(scene())
+
+
+def test_wrong_secret_is_told_in_clear_words(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            p.b.proxy.process.kill()
+            await p.b.proxy.ended()
+            other = tmp_path / "other"
+            other.write_bytes(b"another secret of sixteen")
+            text = p.b.box.file.read_text().replace(str(tmp_path / "secret"), str(other))
+            p.b.box.file.write_text(text)
+            discovery = await Discovery().start()
+            discovery.holds = True
+            async with running(discovery, p.hosts, environ=p.b.box.environ, ready=(200, 503)):
+                line = await p.a.box.line()
+                async with asyncio.timeout(LONG_S):
+                    while not any("another secret" in a for a in (await line.result("status"))["alarms"]):
+                        await asyncio.sleep(0.1)
+                assert (await p.a.told())["taking"]  # with the witness it goes on, and the other can't take
+
+    asyncio.run(scene())
+
+
 def test_alone_wants_a_word_that_the_peer_is_off(tmp_path: Any) -> None:
     async def scene() -> None:
         async with pair(tmp_path) as p:
