--- a/benchmarks/vrrp.py
+++ b/benchmarks/vrrp.py
@@ -1,6 +1,6 @@
-"""How long nobody takes: after a kill, a cut link, and in a planned handover.
+"""How long nobody takes: after a kill, cut off from all, in a planned handover; and many schedules.
 
-    python -m benchmarks.vrrp [--rounds 8]
+    python -m benchmarks.vrrp [--rounds 8] [--schedules 200000]
 
 Two real proxies, a witness and a relay on loopback, under load; interval 0.1 s, promise 0.4 s. Times are read
 from the boxes' own logs, on the machine's one clock. The RFC's bound for the backup is Active_Down_Interval
@@ -14,9 +14,12 @@
 import logging
 import statistics
 import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
 from pathlib import Path
 
 from cloverrouter.vrrp.shell import now_ms
+from tests.vrrp.simulation import run_range
 from tests.vrrp.test_loopback import INTERVAL_CS, PROMISE_MS, TAKES, a_takes, b_takes, load, pair, served_on
 
 SKEW_MS = (256 - 100) * INTERVAL_CS * 10 / 256
@@ -36,6 +39,12 @@
                 await p.a.proxy.ended()
                 while not (await p.b.told())["taking"]:
                     await asyncio.sleep(0.02)
+            elif kind == "isolated":  # the active one is cut off from all: it must stop, the other begin
+                p.relay.cut()
+                p.to_witness[0].cut()
+                while not (await p.b.told())["taking"] or (await p.a.told())["taking"]:
+                    await asyncio.sleep(0.02)
+                begun_ms = p.a.times()[-1][1]
             else:
                 await p.a.do("handover")
                 await p.until(b_takes)
@@ -48,10 +57,18 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--rounds", type=int, default=8)
+    parser.add_argument("--schedules", type=int, default=200_000, help="simulated, before that")
     told = parser.parse_args()
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     print(f"RFC's bound {DOWN_MS:.0f} ms; with the rest of a promise {DOWN_MS + PROMISE_MS:.0f} ms at most")
-    for kind in ("handover", "kill"):
+    if told.schedules:
+        starts = range(0, told.schedules, 500)
+        with ProcessPoolExecutor(mp_context=get_context("spawn")) as pool:
+            results = list(pool.map(run_range, starts, [start + 500 for start in starts]))
+        broken = [text for _, texts in results for text in texts]
+        took = sum(count for count, _ in results)
+        print(f"{500 * len(starts)} schedules: {took} in which somebody took, broken: {broken or 'none'}")
+    for kind in ("handover", "kill", "isolated") if told.rounds else ():
         gaps, refusals = [], []
         for _ in range(told.rounds):
             with tempfile.TemporaryDirectory() as folder:
--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -22,7 +22,7 @@
 from cloverrouter.vrrp.packet import Advertisement, encode
 from cloverrouter.vrrp.shell import Witness
 from cloverrouter.vrrp.wire import Courier, Kind
-from tests.sockets import LONG_S, Discovery, Host, Proxy, running
+from tests.sockets import LONG_S, Discovery, Host, Proxy, never, ok, running
 from tests.standins.appliance import Box
 from tests.standins.offices import Account, working_host
 from tests.standins.relay import Relay
@@ -88,6 +88,7 @@
     a: Member
     b: Member
     relay: Relay
+    to_witness: tuple[Relay, Relay]  # a's and b's
     account: Account
     witness: Witness
     hosts: list[Host]
@@ -115,22 +116,27 @@
     hosts = [await working_host(f"s-{i}", account) for i in (1, 2, 3)]
     at_a, at_b, at_w = (free_address(f"127.77.0.{n}") for n in (1, 2, 9))
     relay = await Relay(1, at_a, at_b).start("127.77.0.12", "127.77.0.11")
-    witness = Witness("w", 1, {"a": at_a, "b": at_b}, Terms(float(PROMISE_MS)), SECRET)
+    to_witness = (
+        await Relay(2, at_a, at_w).start("127.77.0.19", "127.77.0.21"),
+        await Relay(3, at_b, at_w).start("127.77.0.29", "127.77.0.22"),
+    )
+    boxes = {"a": to_witness[0].for_b, "b": to_witness[1].for_b}
+    witness = Witness("w", 1, boxes, Terms(float(PROMISE_MS)), SECRET)
     witness.voter._quiet_until_ms = float("-inf")
     await witness.open(at_w)
     secret = folder / "secret"
     secret.write_bytes(SECRET + b"\n")
     members = []
     async with AsyncExitStack() as stack:
-        for name, listen, peer_address, priority in (
-            ("a", at_a, relay.for_a, 150), ("b", at_b, relay.for_b, 100),
+        for name, listen, peer_address, priority, way in (
+            ("a", at_a, relay.for_a, 150, to_witness[0]), ("b", at_b, relay.for_b, 100, to_witness[1]),
         ):  # fmt: skip
             own = folder / name
             own.mkdir()
             box = Box(own, False, "")
             box.file.write_text(
                 PAIR.format(folder=own, name=name, listen=text_of(listen), peer="b" if name == "a" else "a",
-                            peer_address=text_of(peer_address), witness=text_of(at_w), priority=priority,
+                            peer_address=text_of(peer_address), witness=text_of(way.for_a), priority=priority,
                             interval=INTERVAL_CS, promise=PROMISE_MS, secret=secret)
             )  # fmt: skip
             discovery = await Discovery().start()
@@ -139,7 +145,7 @@
                 running(discovery, hosts, environ=box.environ, ready=(200, 503))
             )
             members.append(Member(name, proxy, box))
-        found = PairOf(members[0], members[1], relay, account, witness, hosts)
+        found = PairOf(members[0], members[1], relay, to_witness, account, witness, hosts)
         yield found
         for member in members:
             if member.proxy.process.poll() is None:
@@ -147,7 +153,8 @@
                 member.proxy.process.terminate()
                 await member.proxy.ended()
         found.check()
-    relay.close()
+    for each in (relay, *to_witness):
+        each.close()
     witness.close()
 
 
@@ -312,6 +319,72 @@
     asyncio.run(scene())
 
 
+def test_active_box_cut_off_from_all_stops_and_the_other_takes(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            async with load(p):
+                await served_on(p)
+                p.relay.cut()
+                p.to_witness[0].cut()
+                await p.until(lambda a, b: b["taking"] and not a["taking"])
+                await served_on(p)
+                assert "does not answer" in (await p.a.told())["why_not"]
+                p.relay.cut(False)
+                p.to_witness[0].cut(False)
+                await p.until(a_takes)
+                await served_on(p)
+
+    asyncio.run(scene())
+
+
+def test_pair_goes_on_without_its_witness(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            for way in p.to_witness:
+                way.cut()
+            async with load(p):
+                await asyncio.sleep(3 * PROMISE_MS / 1000)
+                await served_on(p)
+                assert a_takes(await p.a.told(), await p.b.told())
+                await p.a.do("handover")
+                await p.until(b_takes)
+                await served_on(p)
+
+    asyncio.run(scene())
+
+
+def test_what_was_taken_is_finished_and_a_half_read_request_is_refused_harmlessly(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            for host in p.hosts:
+                host.respond = never
+            taken, half = await p.a.proxy.client(), await p.a.proxy.client()
+            taken.send("/unsafe")
+            half.writer.write(
+                b"POST /unsafe HTTP/1.1\r\nHost: x\r\nX-Request-ID: half\r\nX-Timeout-Ms: 2000\r\n"
+                b"Content-Length: 2\r\n\r\nx"
+            )
+            async with asyncio.timeout(LONG_S):
+                while not any(host.seen for host in p.hosts):
+                    await asyncio.sleep(0.01)
+            await p.a.do("handover")
+            await p.until(b_takes)
+            half.writer.write(b"x")
+            answer = await half.read()
+            assert answer.status == 503 and "retry-after" in answer.headers
+            (busy,) = [host for host in p.hosts if host.seen]
+            busy.open[busy.seen[0].connection].write(ok(b"finished"))
+            answer = await taken.read()
+            assert (answer.status, answer.body) == (200, b"finished")
+            assert answer.headers["connection"] == "close"
+            assert sum(len(host.seen) for host in p.hosts) == 1
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("way", ["a_to_b", "b_to_a"])
 def test_link_cut_one_way(tmp_path: Any, way: str) -> None:
     async def scene() -> None:
