--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -93,7 +93,7 @@
     witness: Witness
     hosts: list[Host]
     answers: Counter[int] = field(default_factory=Counter)
-    lost: int = 0
+    broken: list[tuple[str, Member]] = field(default_factory=list)  # connections ended with no answer
 
     async def until(self, condition: Callable[[dict[str, Any], dict[str, Any]], bool]) -> None:
         async with asyncio.timeout(LONG_S):
@@ -107,7 +107,10 @@
             assert begin >= end, (one, other, begin, end)
         runs = self.account.runs()
         assert all(count == 1 for name, count in runs.items() if name.startswith("u")), "run twice"
-        assert self.lost == 0
+        # A connection may be closed between requests, crossing one that is not read; what has come to a
+        # server was taken, and only a box that was killed owes it no answer.
+        lost = [n for n, m in self.broken if runs[n] and m.proxy.process.returncode != -signal.SIGKILL]
+        assert lost == []
 
 
 @asynccontextmanager
@@ -176,7 +179,8 @@
             )
             answer = await client.read()
         except (OSError, EOFError, TimeoutError):
-            client, turn = None, turn + 1  # killed, or closed before it was read
+            pair.broken.append((name, member))
+            client, turn = None, turn + 1
             await asyncio.sleep(0.01)
             continue
         pair.answers[answer.status] += 1
@@ -266,6 +270,25 @@
     asyncio.run(scene())
 
 
+def test_sigterm_hands_over_and_loses_nothing(tmp_path: Any) -> None:
+    async def scene() -> None:
+        async with pair(tmp_path) as p:
+            await p.until(a_takes)
+            async with load(p):
+                await served_on(p)
+                p.a.proxy.process.terminate()
+                assert await p.a.proxy.ended() == 0
+                async with asyncio.timeout(LONG_S):
+                    while not (await p.b.told())["taking"]:
+                        await asyncio.sleep(0.02)
+                await served_on(p)
+            assert p.answers[502] == 0
+            gap_ms = float(TAKES.findall(p.b.proxy.log())[-1]) - p.a.times()[-1][1]
+            assert 0 <= gap_ms < (256 - 100) * INTERVAL_CS * 10 / 256 / 2
+
+    asyncio.run(scene())
+
+
 def test_box_without_servers_gives_way_and_a_short_fault_does_not(tmp_path: Any) -> None:
     async def scene() -> None:
         async with pair(tmp_path) as p:
@@ -362,6 +385,7 @@
             for host in p.hosts:
                 host.respond = never
             taken, half = await p.a.proxy.client(), await p.a.proxy.client()
+            idle = await p.a.proxy.client()
             taken.send("/unsafe")
             half.writer.write(
                 b"POST /unsafe HTTP/1.1\r\nHost: x\r\nX-Request-ID: half\r\nX-Timeout-Ms: 2000\r\n"
@@ -372,6 +396,8 @@
                     await asyncio.sleep(0.01)
             await p.a.do("handover")
             await p.until(b_takes)
+            async with asyncio.timeout(LONG_S):
+                assert await idle.reader.read() == b""  # its client looks for the box that takes
             half.writer.write(b"x")
             answer = await half.read()
             assert answer.status == 503 and "retry-after" in answer.headers
