Console and VRRP: one way to reach the proxy in plain mode, unused names taken out

Plain mode wrote the same connection twice; a type alias and the relay's unused burst hook were dead. No test lost an assertion.

--- a/cloverrouter/console/plain.py
+++ b/cloverrouter/console/plain.py
@@ -31,10 +31,8 @@
                 self.say(f"{confirm['server']} is not drained")
                 return False
             return self._ask("drain", {**confirm, "confirm": line})
-        try:
-            client = ControlClient(self._path)
-        except Unreachable as wrong:
-            self.say(str(wrong))
+        client = self._reach()
+        if client is None:
             return False
         try:
             do, args = parse(split(line), client.ask("help")["result"]["commands"])
@@ -46,11 +44,16 @@
         args.pop("follow", None)
         return self._ask(do, args)
 
-    def _ask(self, do: str, args: dict[str, object]) -> bool:
+    def _reach(self) -> ControlClient | None:
         try:
-            client = ControlClient(self._path)
+            return ControlClient(self._path)
         except Unreachable as wrong:
             self.say(str(wrong))
+            return None
+
+    def _ask(self, do: str, args: dict[str, object]) -> bool:
+        client = self._reach()
+        if client is None:
             return False
         try:
             answer = client.ask(do, **args)
--- a/cloverrouter/vrrp/lease.py
+++ b/cloverrouter/vrrp/lease.py
@@ -86,7 +86,6 @@
 
 
 Answer = Grant | Deny | Stale
-Message = Request | Release | Answer
 
 
 class Voter:
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from random import Random
 from typing import cast
 
@@ -18,12 +17,10 @@
         self.loss, self.delay_s, self.double = 0.0, 0.0, 0.0
         self.cut = False
         self.passed = self.lost = 0
-        self.burst: Callable[[float], bool] | None = None  # by loop time: is this a bad moment?
 
-    def times(self, now_s: float) -> list[float]:
+    def times(self) -> list[float]:
         """After how long each copy goes on; none if it is lost."""
-        bad = self.burst is not None and self.burst(now_s)
-        if self.cut or bad or self._random.random() < self.loss:
+        if self.cut or self._random.random() < self.loss:
             self.lost += 1
             return []
         self.passed += 1
@@ -45,7 +42,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         assert self.other is not None
         loop = asyncio.get_running_loop()
-        for wait_s in self.way.times(loop.time()):
+        for wait_s in self.way.times():
             loop.call_later(wait_s, self.other.send_on, data, self.target)
 
     def send_on(self, data: bytes, target: Address) -> None:
