--- a/cloverrouter/cli.py
+++ b/cloverrouter/cli.py
@@ -33,6 +33,9 @@
     check = words.add_parser("check", help="tell whether an operators' file is right, without starting")
     check.add_argument("file")
 
+    # Named here, read by the lab itself: what a proxy loads stays clear of it.
+    words.add_parser("lab", help="ask what would happen: emulated servers, faults, load, sweeps")
+
     witness = words.add_parser("witness", help="be the third vote of a pair of boxes")
     witness.add_argument("--listen", required=True, help="address:port to listen at")
     witness.add_argument("--name", default="w", help="its name in the boxes' files (w)")
@@ -128,7 +131,12 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    told = build_parser().parse_args(arguments)
+    words = sys.argv[1:] if arguments is None else list(arguments)
+    if words[:1] == ["lab"]:
+        from cloverrouter.lab.cli import main as lab
+
+        return lab(words[1:])
+    told = build_parser().parse_args(words)
     match told.word:
         case "check":
             return check(told.file)
--- /dev/null
+++ b/cloverrouter/lab/report.py
@@ -0,0 +1,252 @@
+"""One self-contained page (HTML, plots as SVG) of one run, of two overlaid, or of a sweep.
+
+Plots are vector, on white, in the colours of Okabe and Ito (2008), which the colour-blind can tell apart;
+lines also differ by dash and marker, bars by hatch, so that a print in black and white can be read too.
+However many requests a run had, a plot holds a value a second.
+"""
+
+from __future__ import annotations
+
+import html
+import io
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("svg")
+import numpy
+from matplotlib import pyplot
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from cloverrouter.lab.account import Result
+from cloverrouter.lab.records import Store
+from cloverrouter.lab.sweep import Factor, Row, rows_of
+from cloverrouter.lab.text import fit, run_lines, sweep_lines
+
+COLOURS = ("#0072B2", "#D55E00", "#009E73", "#CC79A7", "#E69F00", "#56B4E9", "#000000", "#F0E442")
+DASHES: tuple[Any, ...] = ("-", (0, (5, 2)), (0, (1, 1)), (0, (3, 1, 1, 1)))
+HATCHES = ("", "//", "..", "xx", "\\\\", "++", "oo", "--")
+WIDTH, HEIGHT = 10.0, 2.6  # inches
+MOST_POINTS = 600
+MOST_SERVERS = 40
+STYLE = """
+body { font: 16px/1.45 system-ui, sans-serif; max-width: 1100px; margin: 2em auto; padding: 0 1em; color: #111
+} h1 { font-size: 1.5em } h2 { font-size: 1.15em; margin: 1.6em 0 .3em } svg { width: 100%; height: auto } pre
+{ font-size: 13px; overflow-x: auto; background: #f4f4f4; padding: .8em } .broken { border: 2px solid #D55E00;
+padding: .6em } @media print { body { max-width: none; margin: 0; font-size: 11pt } section { break-inside:
+avoid } }
+"""
+
+
+def _svg(figure: Figure) -> str:
+    text = io.StringIO()
+    figure.savefig(text, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    whole = text.getvalue()
+    return whole[whole.index("<svg") :]
+
+
+def _axes(height: float = HEIGHT) -> tuple[Figure, Axes]:
+    with pyplot.rc_context({"font.size": 10, "svg.fonttype": "none", "svg.hashsalt": "lab"}):
+        figure, axes = pyplot.subplots(figsize=(WIDTH, height), layout="constrained")
+    for side in ("top", "right"):
+        axes.spines[side].set_visible(False)
+    axes.grid(True, color="#dddddd", linewidth=0.6)
+    axes.set_axisbelow(True)
+    return figure, axes
+
+
+def _faults(axes: Axes, result: Result) -> None:
+    """The faults as grey bands, each with its name."""
+    for i, (from_s, to_s, what) in enumerate(result.series.faults[:12]):
+        axes.axvspan(from_s, to_s, color="#000000", alpha=0.08, linewidth=0)
+        axes.annotate(
+            what.split()[0], (from_s, 1.0), xycoords=("data", "axes fraction"),
+            xytext=(2, -9 - 10 * (i % 4)), textcoords="offset points", fontsize=8, color="#333333",
+        )  # fmt: skip
+
+
+def _seconds(values: Sequence[float]) -> tuple[list[float], list[float]]:
+    """Values a second as points; of a long run, means of neighbours."""
+    points = fit(values, MOST_POINTS)
+    step = len(values) / max(1, len(points))
+    return [(i + 0.5) * step for i in range(len(points))], points
+
+
+def _over_time(results: Sequence[Result]) -> str:
+    figure, axes = _axes()
+    for i, result in enumerate(results):
+        s = result.series
+        share = [good / asked if asked else 1.0 for good, asked in zip(s.good, s.asked, strict=True)]
+        label = f"{'ab'[i]}: {result.scenario['name']}" if len(results) > 1 else "worth in aim / asked"
+        axes.plot(*_seconds(share), color=COLOURS[i], linestyle=DASHES[i], linewidth=1.8, label=label)
+    axes.set(ylim=(-0.02, 1.05), xlabel="s", ylabel="worth in aim / asked")
+    _faults(axes, results[0])
+    axes.legend(loc="lower left", frameon=False)
+    return _svg(figure)
+
+
+def _stack(series: dict[str, list[int]], label: str, result: Result) -> str:
+    """Counts a second, stacked."""
+    figure, axes = _axes()
+    names = sorted(series, key=lambda name: -sum(series[name]))[:MOST_SERVERS]
+    if names:
+        x = _seconds([float(v) for v in series[names[0]]])[0]
+        bottom = numpy.zeros(len(x))
+        width = x[1] - x[0] if len(x) > 1 else 1.0
+        for i, name in enumerate(names):
+            values = numpy.array(_seconds([float(v) for v in series[name]])[1])
+            axes.bar(
+                x, values, width, bottom=bottom, color=COLOURS[i % len(COLOURS)], label=name,
+                hatch=HATCHES[i // len(COLOURS) % len(HATCHES)], edgecolor="white", linewidth=0.2,
+            )  # fmt: skip
+            bottom += values
+        axes.legend(
+            loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False, fontsize=7 if len(names) > 8 else 8
+        )
+    axes.set(xlabel="s", ylabel=label)
+    _faults(axes, result)
+    return _svg(figure)
+
+
+def _map(series: dict[str, list[float]], result: Result) -> str:
+    """A row for each server, a column for each second: white where no proxy would send."""
+    names = sorted(series, key=_by_number)[:MOST_SERVERS]
+    figure, axes = _axes(max(HEIGHT, 0.22 * len(names) + 0.9))
+    if names:
+        rows = [_seconds(series[name])[1] for name in names]
+        shades = axes.imshow(
+            rows, aspect="auto", cmap="cividis", vmin=0, vmax=1, interpolation="nearest",
+            extent=(0, len(series[names[0]]), len(names) - 0.5, -0.5),
+        )  # fmt: skip
+        axes.set_yticks(range(len(names)), names, fontsize=8)
+        figure.colorbar(shades, label="share of proxies that would send to it")
+    axes.grid(False)
+    axes.set(xlabel="s")
+    for from_s, to_s, _ in result.series.faults[:12]:
+        for at in (from_s, to_s):
+            axes.axvline(at, color="#D55E00", linewidth=0.8, linestyle=":")
+    return _svg(figure)
+
+
+def _by_number(name: str) -> tuple[str, int, str]:
+    base, _, rest = name.partition("-")
+    number = rest.partition("+")[0]
+    return base, int(number) if number.isdigit() else 0, rest
+
+
+def _latencies(results: Sequence[Result]) -> str:
+    """The share of served tries within a time, by class."""
+    from hdrh.histogram import HdrHistogram
+
+    figure, axes = _axes()
+    shares = [*range(1, 100), 99.5, 99.9]
+    for i, result in enumerate(results):
+        names = [name for name in result.latencies if name.endswith(" served")]
+        for j, name in enumerate(names):
+            histogram = HdrHistogram.decode(result.latencies[name])
+            times = [histogram.get_value_at_percentile(share) / 1000 for share in shares]
+            label = name.removesuffix(" served") + (f" ({'ab'[i]})" if len(results) > 1 else "")
+            axes.plot(
+                times, [s / 100 for s in shares], color=COLOURS[j % 8], linestyle=DASHES[i], label=label
+            )
+    axes.set(
+        xscale="log",
+        xlabel="ms from the moment the client meant to ask",
+        ylabel="share within",
+        ylim=(0, 1.02),
+    )
+    axes.legend(frameon=False)
+    return _svg(figure)
+
+
+def _heat(factors: Sequence[Factor], rows: Sequence[Row], figure_name: str) -> str:
+    """A sweep over its first two factors; further ones are averaged, and the interval stands in each
+    field."""
+    first = factors[0] if factors else Factor("", [""])
+    second = factors[1] if len(factors) > 1 else Factor("", [""])
+    means = numpy.full((len(second.values), len(first.values)), numpy.nan)
+    texts: dict[tuple[int, int], str] = {}
+    for j, other in enumerate(second.values):
+        for i, one in enumerate(first.values):
+            at = [
+                row.means[figure_name]
+                for row in rows
+                if figure_name in row.means
+                and (not factors or row.values[0] == one)
+                and (len(factors) < 2 or row.values[1] == other)
+            ]
+            if at:
+                means[j, i] = sum(mean for mean, _, _ in at) / len(at)
+                low, high = min(low for _, low, _ in at), max(high for _, _, high in at)
+                texts[j, i] = f"{means[j, i]:.3g}\n{low:.3g} to {high:.3g}"
+    figure, axes = _axes(1.2 + 0.55 * len(second.values))
+    shades = axes.imshow(means, aspect="auto", cmap="cividis")
+    for (j, i), text in texts.items():
+        low, high = numpy.nanmin(means), numpy.nanmax(means)
+        dark = high > low and (means[j, i] - low) / (high - low) < 0.5
+        axes.text(i, j, text, ha="center", va="center", fontsize=8, color="white" if dark else "black")
+    axes.grid(False)
+    axes.set_xticks(range(len(first.values)), [str(value) for value in first.values])
+    axes.set_yticks(range(len(second.values)), [str(value) for value in second.values])
+    axes.set(xlabel=first.path, ylabel=second.path, title=figure_name)
+    figure.colorbar(shades)
+    return _svg(figure)
+
+
+def _page(title: str, sections: Sequence[tuple[str, str]]) -> str:
+    body = "".join(f"<section><h2>{html.escape(head)}</h2>{text}</section>\n" for head, text in sections)
+    return (
+        f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>{html.escape(title)}</title>'
+        f"<style>{STYLE}</style></head><body><h1>{html.escape(title)}</h1>\n{body}</body></html>\n"
+    )
+
+
+def _text(lines: Sequence[str]) -> str:
+    return f"<pre>{html.escape(chr(10).join(lines))}</pre>"
+
+
+def write_runs(path: str, results: Sequence[Result]) -> None:
+    """A page of one run, or of two overlaid."""
+    first = results[0]
+    title = " and ".join(f"{r.scenario['name']}, seed {r.seed}, {r.driver}" for r in results)
+    sections: list[tuple[str, str]] = []
+    for result in results:
+        notes = "".join(f'<p class="broken">{html.escape(note)}</p>' for note in result.notes)
+        if notes:
+            sections.append(("Before you trust the figures", notes))
+        if result.broken:
+            shown = f'<p class="broken">{html.escape(result.broken)}</p>' + _text(result.last[-30:])
+            sections.append(("A rule is broken", shown))
+    sections.append(("Service over time, the faults in grey", _over_time(results)))
+    for i, result in enumerate(results):
+        which = f" ({'ab'[i]})" if len(results) > 1 else ""
+        s = result.series
+        sections += [
+            (f"Given up by the proxies, a second, by reason{which}", _stack(s.reasons, "tries", result)),
+            (f"Attempts a second, by server{which}", _stack(s.sends, "attempts", result)),
+        ]
+        if s.believed:
+            sections.append((f"What the proxies believed of each server{which}", _map(s.believed, result)))
+    sections.append(("Time to the answer", _latencies(results)))
+    for result in results:
+        sections.append((f"Figures: {result.scenario['name']}, seed {result.seed}", _text(run_lines(result))))
+    about = html.escape(first.scenario.get("about", ""))
+    Path(path).write_text(_page(title, [("What happens", f"<p>{about}</p>"), *sections]))
+
+
+def write_sweep(path: str, store: Store) -> None:
+    """A page of a sweep: heat maps over its first two factors, and the whole table."""
+    factors, rows = rows_of(store)
+    names = [
+        name
+        for name in ("worth in aim", "refused a request", "waste", "99% ms")
+        if any(name in r.means for r in rows)
+    ]
+    sections = [(f"{name}: mean, and interval", _heat(factors, rows, name)) for name in names]
+    sections.append(("All combinations", _text(sweep_lines(factors, rows))))
+    title = f"Sweep of {store.plan(None)['scenario']['name']}"
+    Path(path).write_text(_page(title, sections))
--- /dev/null
+++ b/cloverrouter/lab/simproxy.py
@@ -0,0 +1,487 @@
+"""A proxy in simulated time: the real `Node` and `Balancer`, on a simulated carrier, watch and client
+side."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from cloverrouter.interface import EndpointState, ListedEndpoint, ListKind, Outcome, Why
+from cloverrouter.lab.engine import Engine, Timer
+from cloverrouter.lab.office import Ask
+from cloverrouter.lab.registry import Listing
+from cloverrouter.lab.server import Job, Reply, Server
+from cloverrouter.lab.world import group_of, settings_of
+from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.proxy.discovery import GRACE_S, HOLD_MS
+from cloverrouter.proxy.messages import Answer, Call
+from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.observer import Final, Tried
+from cloverrouter.proxy.upstream import IDLE_SHARE, Host, OnEnd
+
+if TYPE_CHECKING:
+    from cloverrouter.lab.simulation import Simulation
+
+STATES = {"active": EndpointState.READY, "leaving": EndpointState.DRAINING, "left": EndpointState.GONE}
+OUTCOMES = {
+    "ok": Outcome.OK,
+    "error": Outcome.ERROR,
+    "turned away": Outcome.REJECTED,
+    "reset": Outcome.RESET,
+}
+NEVER = (Outcome.REJECTED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT)
+TAKES_ON_S = 0.3  # after SIGTERM, as the platform has it
+
+
+class Gate:
+    """The engine, for one life of a proxy: what it waited for does not happen once it is dead."""
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+        self.alive = True
+        self.time = engine.time
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Timer:
+        return self._engine.call_later(delay, self._call, callback, args)
+
+    def _call(self, callback: Callable[..., object], args: tuple[Any, ...]) -> None:
+        if self.alive:
+            callback(*args)
+
+
+class SimCall(Call):
+    """A client's try, as the node sees it."""
+
+    __slots__ = ("ask", "proxy")
+
+    def __init__(self, proxy: SimProxy, ask: Ask, now_ms: float) -> None:
+        self.proxy, self.ask = proxy, ask
+        self.arrived_ms = now_ms
+        self.request_id = b"%d" % ask.number
+        self.class_name = ask.kind.name
+        self.tenant = self.key = self.cost_ms = None
+        self.timeout_ms = ask.patience_s * 1000
+        self.repeat = ask.attempt > 0
+
+    def served(self, answer: Answer) -> None:
+        self.proxy.answered(self, "served", None)
+
+    def refused(self, retry_after_ms: float) -> None:
+        self.proxy.answered(self, "refused", retry_after_ms / 1000)
+
+    def failed(self) -> None:
+        self.proxy.answered(self, "failed", None)
+
+
+class Conn:
+    """A connection from a proxy to one process of a server."""
+
+    __slots__ = ("dead", "exchange", "host", "idle_since", "number", "server", "used")
+
+    def __init__(self, host: Host, server: Server) -> None:
+        self.host, self.server, self.number = host, server, server.number
+        self.dead = self.used = False
+        self.idle_since = 0.0
+        self.exchange: SimExchange | None = None
+
+
+class SimExchange:
+    """One attempt: a request on its way to a server."""
+
+    __slots__ = ("carrier", "conn", "host", "job", "number", "on_end", "timer", "written")
+
+    def __init__(self, carrier: SimCarrier, host: Host, number: int, on_end: OnEnd) -> None:
+        self.carrier, self.host, self.number = carrier, host, number
+        self.on_end: OnEnd | None = on_end
+        self.conn: Conn | None = None
+        self.job: Job | None = None
+        self.timer: Timer | None = None
+        self.written = False
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            if outcome in NEVER:
+                self.carrier.world.monitors.known(self.number, self.host[0], True)
+            on_end(outcome, answer)
+
+    def abandon(self) -> None:
+        self.on_end = None
+        if self.conn is not None:
+            self.carrier.close(self.conn)
+
+
+class SimCarrier:
+    """Attempts to servers over simulated connections; a `node.Carrier`."""
+
+    def __init__(self, world: Simulation, proxy: SimProxy, gate: Gate) -> None:
+        self.world, self._proxy, self._gate = world, proxy, gate
+        self._pools: dict[Host, list[Conn]] = {}
+        self._wanted: set[Host] = set()
+        self.conns: dict[Conn, None] = {}
+        self._idle_s = world.scenario.proxies.conn_idle_ms * IDLE_SHARE / 1000
+        self._connect_s = world.scenario.proxies.connect_timeout_ms / 1000
+        self._reports: dict[str, tuple[tuple[float, ...], bytes]] = {}
+
+    def keep_only(self, wanted: set[Host]) -> None:
+        self._wanted = wanted
+        for host in [host for host in self._pools if host not in wanted]:
+            for conn in self._pools.pop(host):
+                self.close(conn)
+
+    def send(self, host: Host, call: Call, timeout_ms: float, on_end: OnEnd) -> SimExchange:
+        assert isinstance(call, SimCall)
+        exchange = SimExchange(self, host, call.ask.number, on_end)
+        server = self.world.by_address[host[1]]
+        ask = call.ask
+        key = str(ask.number) if ask.kind.effect == "keyed" else None
+        exchange.job = Job(ask.number, ask.kind.name, self._proxy.name, key, ask.work_ms, _nobody)
+        pool, now_s = self._pools.get(host, []), self._gate.time()
+        while pool:
+            conn = pool.pop()
+            if conn.idle_since >= now_s - self._idle_s:
+                self._write(exchange, conn)
+                return exchange
+            self.close(conn)
+        engine, net = self.world.engine, self.world.net
+        exchange.timer = self._gate.call_later(self._connect_s, exchange.end, Outcome.CONNECT_FAILED)
+        engine.post(net.delay_s(self._proxy.name, server.name), self._knock, exchange, server)
+        return exchange
+
+    def _knock(self, exchange: SimExchange, server: Server) -> None:
+        """A connection is asked for, at the server's end."""
+        world = self.world
+        if not server.reachable or not world.net.passes(self._proxy.name, server.name):
+            return
+        conn = None
+        if server.up and world.by_address[exchange.host[1]] is server:
+            conn = Conn(exchange.host, server)
+            server.connections += 1
+            server.most_connections = max(server.most_connections, server.connections)
+        if world.net.passes(server.name, self._proxy.name):
+            world.engine.post(
+                world.net.delay_s(server.name, self._proxy.name), self._connected, exchange, conn
+            )
+        elif conn is not None:
+            server.connections -= 1
+
+    def _connected(self, exchange: SimExchange, conn: Conn | None) -> None:
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        if conn is not None:
+            self.conns[conn] = None
+        if not self._gate.alive:
+            if conn is not None:
+                self.close(conn)
+        elif conn is None or conn.number != conn.server.number:
+            exchange.end(Outcome.CONNECT_FAILED)
+        elif exchange.on_end is None:
+            self._put(conn)  # given up in the meantime
+        else:
+            self._write(exchange, conn)
+
+    def _write(self, exchange: SimExchange, conn: Conn) -> None:
+        world, server, job = self.world, conn.server, exchange.job
+        assert job is not None
+        exchange.conn, conn.exchange, exchange.written = conn, exchange, True
+        now_s = self._gate.time()
+        cls = world.classes[job.class_name]
+        world.monitors.sent(now_s, self._proxy.name, job.request_id, server.name, group_of(server, cls.group))
+        world.account.sent(now_s, server.name)
+        if not conn.used:
+            conn.used = True
+            job.work_ms += server.kind.handshake_ms  # a new connection costs the server work
+        job.reply = partial(self._reply, exchange, conn)
+        world.engine.post(world.net.delay_s(self._proxy.name, server.name), self._arrive, exchange, conn)
+
+    def _arrive(self, exchange: SimExchange, conn: Conn) -> None:
+        server, job = conn.server, exchange.job
+        assert job is not None
+        if conn.dead and not conn.server.up:
+            return
+        if not server.reachable or not self.world.net.passes(self._proxy.name, server.name):
+            return  # into the void: nothing tells
+        if conn.number != server.number:
+            self._reply(exchange, conn, Reply("reset", None))
+        elif not conn.dead:
+            server.receive(job)
+
+    def _reply(self, exchange: SimExchange, conn: Conn, reply: Reply) -> None:
+        server = conn.server
+        if server.reachable and self.world.net.passes(server.name, self._proxy.name):
+            delay_s = self.world.net.delay_s(server.name, self._proxy.name)
+            self.world.engine.post(delay_s, self._back, exchange, conn, reply)
+
+    def _back(self, exchange: SimExchange, conn: Conn, reply: Reply) -> None:
+        if exchange.on_end is None or conn.dead or not self._gate.alive:
+            return
+        outcome = OUTCOMES[reply.how]
+        conn.exchange = exchange.conn = None
+        if reply.how == "reset":
+            self.close(conn)
+            exchange.end(outcome)
+            return
+        self._put(conn)
+        report = self._report(conn.server.name, reply.report) if reply.report is not None else None
+        exchange.end(outcome, Answer(200, b"", b"", reply.how == "turned away", report))
+
+    def _report(self, server: str, reading: tuple[float, ...]) -> bytes:
+        known = self._reports.get(server)
+        if known is None or known[0] is not reading:
+            text = b"inflight=%d,queue=%d,latency_ms=%.2f" % reading
+            known = self._reports[server] = reading, text
+        return known[1]
+
+    def _put(self, conn: Conn) -> None:
+        if conn.host not in self._wanted:
+            self.close(conn)
+            return
+        conn.idle_since = self._gate.time()
+        self._pools.setdefault(conn.host, []).append(conn)
+
+    def close(self, conn: Conn) -> None:
+        """From this end. The server hears of it a way later, if at all."""
+        if conn.dead:
+            return
+        conn.dead = True
+        self.conns.pop(conn, None)
+        pool = self._pools.get(conn.host, [])
+        if conn in pool:
+            pool.remove(conn)
+        exchange, server = conn.exchange, conn.server
+        delay_s = self.world.net.delay_s(self._proxy.name, server.name)
+        self.world.engine.post(delay_s, self._hung_up, conn, exchange)
+
+    def _hung_up(self, conn: Conn, exchange: SimExchange | None) -> None:
+        server = conn.server
+        if conn.number != server.number:
+            return
+        server.connections -= 1
+        if exchange is not None and exchange.job is not None:
+            server.called_off(exchange.job)
+
+    def broke(self, server: Server) -> None:
+        """A server's process has died, or its machine is back: connections to it end, as far as that is
+        heard."""
+        if server.reachable and self.world.net.passes(server.name, self._proxy.name):
+            for conn in [conn for conn in self.conns if conn.server is server]:
+                exchange, conn.exchange = conn.exchange, None
+                self.close(conn)
+                if exchange is not None:
+                    delay_s = self.world.net.delay_s(server.name, self._proxy.name)
+                    self.world.engine.post(delay_s, self._ends, exchange)
+
+    def _ends(self, exchange: SimExchange) -> None:
+        if self._gate.alive:
+            exchange.end(Outcome.RESET)
+
+    def die(self) -> None:
+        for conn in list(self.conns):
+            self.close(conn)
+
+
+def _nobody(reply: Reply) -> None:
+    """Nobody waits for it yet."""
+
+
+class SimProxy:
+    """One proxy and the lives it has; the `Port` of its clients."""
+
+    def __init__(self, world: Simulation, index: int) -> None:
+        self.world, self.index, self.name = world, index, f"p-{index}"
+        self.hall = world.parties.hall_of_proxy(index)
+        world.net.place(self.name, self.hall)
+        self.settings = settings_of(world.scenario, index, self.hall)
+        self.up = self.taking = False
+        self.lives = 0
+        self.gate = Gate(world.engine)
+        self.node: Node | None = None
+        self.carrier: SimCarrier | None = None
+        self._calls: dict[Ask, SimCall] = {}
+        self._version: int | None = None
+        self._watching = 0
+        self._known: dict[str, HostEntry] = {}
+
+    def start(self, known: Listing | None = None) -> None:
+        """Begin a life. `known`: the list as it last had it."""
+        if self.up:
+            return
+        self.up = self.taking = True
+        self.gate = Gate(self.world.engine)
+        self.lives += 1
+        self.world.monitors.restarted(self.name)
+        self.carrier = SimCarrier(self.world, self, self.gate)
+        seed = self.world.seeds[self.index] + self.lives
+        self.node = Node(self.settings, seed, self.carrier, self._subscribe, _crash, self.gate)
+        self.node.observer = self
+        self._version = None
+        if known is not None:
+            self._version = known.version
+            self._listed(ListKind.RESTORED, known)
+        else:
+            self._subscribe()
+
+    # Clients: a `Port`
+
+    def ask(self, ask: Ask) -> bool:
+        if not self.taking:
+            return False
+        self.world.engine.post(self.world.net.client_delay_s(), self._take, ask, self.lives)
+        return True
+
+    def _take(self, ask: Ask, life: int) -> None:
+        if not self.up or life != self.lives or self.node is None:
+            self.world.clients_got(ask, "failed", None)
+            return
+        if ask.over:
+            return
+        now_s = self.gate.time()
+        call = self._calls[ask] = SimCall(self, ask, now_s * 1000)
+        self.world.monitors.taken(now_s, self.name, ask.number, ask.kind)
+        self.node.arrived(call)
+
+    def answered(self, call: SimCall, got: str, retry_after_s: float | None) -> None:
+        """The node's final answer."""
+        ask = call.ask
+        self.world.monitors.final(self.gate.time(), ask.number, got)
+        self._calls.pop(ask, None)
+        self.world.engine.post(
+            self.world.net.client_delay_s(), self.world.clients_got, ask, got, retry_after_s
+        )
+
+    def left(self, ask: Ask) -> None:
+        """The client leaves. Its time being over, it must have had its answer."""
+        now_s, call = self.gate.time(), self._calls.pop(ask, None)
+        if call is None:
+            return
+        if ask.leaves_s < ask.patience_s:
+            self.world.monitors.forget(self.gate.time(), ask.number)
+        else:
+            self.world.monitors.waited_out(now_s, ask.number)
+        if self.node is not None and self.up:
+            self.world.monitors.forget(self.gate.time(), ask.number)
+            self.node.gone(call)
+
+    # Discovery
+
+    def _subscribe(self) -> None:
+        self._watching += 1
+        self._call(self._watching, self.lives)
+
+    def _call(self, watch: int, life: int) -> None:
+        if watch != self._watching or life != self.lives or not self.up:
+            return
+        world = self.world
+        world.monitors.asked(self.gate.time(), self.name)
+        hold_s = HOLD_MS / 1000 if self._version is not None else 0.0
+        timer = self.gate.call_later(hold_s + GRACE_S, self._failed, watch, life)
+        if world.net.passes(self.name, "discovery"):
+            answer = partial(self._answer, watch, life, timer)
+            delay_s = world.net.delay_s(self.name, "discovery")
+            world.engine.post(delay_s, world.registry.call, self._version, hold_s, answer)
+
+    def _answer(self, watch: int, life: int, timer: Timer, listing: Listing | None) -> None:
+        if self.world.net.passes("discovery", self.name):
+            delay_s = self.world.net.delay_s("discovery", self.name)
+            self.world.engine.post(delay_s, self._heard, watch, life, timer, listing)
+
+    def _heard(self, watch: int, life: int, timer: Timer, listing: Listing | None) -> None:
+        if watch != self._watching or life != self.lives or not self.up or timer.cancelled:
+            return
+        timer.cancel()
+        if listing is None:
+            self._failed(watch, life)
+            return
+        self._version = listing.version
+        self._listed(ListKind.FULL if listing.full else ListKind.DELTA, listing)
+        self._call(watch, life)
+
+    def _failed(self, watch: int, life: int) -> None:
+        if watch == self._watching and life == self.lives and self.node is not None:
+            self._watching += 1
+            self.node.discovery_failed()
+
+    def _listed(self, kind: ListKind, listing: Listing) -> None:
+        now_s, monitors = self.gate.time(), self.world.monitors
+        states = {entry.name: entry.state for entry in listing.entries}
+        if states or listing.full:
+            monitors.told(now_s, self.name, states, listing.full)
+        else:
+            monitors.asked(now_s, self.name)
+        entries = tuple(
+            HostEntry(
+                ListedEndpoint(
+                    entry.name, entry.hall, entry.rack, 1.0, STATES[entry.state],
+                    entry.started_s * 1000 if entry.started_s is not None else None,
+                ),
+                self.world.address_of(entry.address),
+            )
+            for entry in listing.entries
+        )  # fmt: skip
+        if listing.full:
+            for name in self._known:
+                if name not in states:
+                    monitors.gone(now_s, self.name, name)
+            self._known.clear()
+        for entry in entries:
+            if entry.listed.state is EndpointState.GONE:
+                self._known.pop(entry.listed.name, None)
+            else:
+                self._known[entry.listed.name] = entry
+        assert self.node is not None
+        self.node.listed(kind, HostList(listing.version, listing.full, entries))
+
+    # Lives
+
+    def kill(self) -> None:
+        if not self.up:
+            return
+        self.up = self.taking = self.gate.alive = False
+        assert self.carrier is not None
+        self.carrier.die()
+        calls, self._calls = self._calls, {}
+        for ask in calls:
+            self.world.monitors.forget(self.gate.time(), ask.number)
+            self.world.clients_got(ask, "failed", None)
+
+    def terminate(self) -> None:
+        """SIGTERM: it takes what comes for a while yet, answers all that it took, and ends."""
+        if self.up:
+            self.world.engine.post(TAKES_ON_S, self._stop_taking, self.lives)
+
+    def _stop_taking(self, life: int) -> None:
+        if self.up and life == self.lives:
+            self.taking = False
+            self._end_when_done(life)
+
+    def _end_when_done(self, life: int) -> None:
+        if not self.up or life != self.lives or self.node is None:
+            return
+        if self._calls or self.node.busy:
+            self.world.engine.post(0.02, self._end_when_done, life)
+        else:
+            self.kill()
+
+    # What the node tells: an `Observer`
+
+    def taken(self, call: Call) -> None: ...
+
+    def tried(self, tried: Tried, report: tuple[float, ...] | None) -> None: ...
+
+    def ended(
+        self, call: Call, final: Final, why: Why | None, trail: Sequence[Tried], took_ms: float
+    ) -> None:
+        if why is not None:
+            self.world.account.refused(self.gate.time(), f"{final.value}: {why.value}")
+
+    def turned_away(self, status: int) -> None: ...
+
+    def not_taken(self, call: Call, why: str) -> None: ...
+
+    def said(self, text: str) -> None: ...
+
+
+def _crash(error: BaseException) -> None:
+    """An exception in the decisions ends the run, loudly."""
+    raise error
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -7,10 +7,11 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
+from typing import Protocol
 
+from cloverrouter.clock import Handle, Loop
 from cloverrouter.decide import Balancer
 from cloverrouter.interface import (
     Action,
@@ -40,7 +41,7 @@
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.observer import Final, Observer, Tried
-from cloverrouter.proxy.upstream import Exchange, Host, Upstream
+from cloverrouter.proxy.upstream import Host, OnEnd
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
 # this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
@@ -68,22 +69,41 @@
 class LagMeter:
     """How late the event loop comes to things: the longest of late, fading."""
 
-    def __init__(self) -> None:
-        self._loop = asyncio.get_running_loop()
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
         self.peak_ms = 0.0
         self._due_s = 0.0
         self._again()
 
     def _again(self) -> None:
-        self._due_s = time.monotonic() + LAG_EVERY_S
+        self._due_s = self._loop.time() + LAG_EVERY_S
         self._loop.call_later(LAG_EVERY_S, self._measure)
 
     def _measure(self) -> None:
-        late_ms = (time.monotonic() - self._due_s) * 1000
+        late_ms = (self._loop.time() - self._due_s) * 1000
         self.peak_ms = min(MOST_LAG_MS, max(late_ms, self.peak_ms * LAG_KEPT))
         self._again()
 
 
+class Sent(Protocol):
+    """An attempt as its carrier has it."""
+
+    @property
+    def written(self) -> bool:
+        """Has its last byte been handed over? From then on it may have run."""
+
+    def abandon(self) -> None:
+        """Give it up, and tell nobody."""
+
+
+class Carrier(Protocol):
+    """What takes attempts to hosts; `Upstream` on sockets."""
+
+    def send(self, host: Host, call: Call, timeout_ms: float, on_end: OnEnd) -> Sent: ...
+
+    def keep_only(self, wanted: set[Host]) -> None: ...
+
+
 class Try:
     """An attempt that is out."""
 
@@ -94,8 +114,8 @@
         self.number = number
         self.host = host
         self.sent_ms = sent_ms
-        self.exchange: Exchange | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.exchange: Sent | None = None
+        self.timer: Handle | None = None
 
 
 class Request:
@@ -118,11 +138,14 @@
         self,
         settings: Settings,
         seed: int,
-        upstream: Upstream,
+        upstream: Carrier,
         subscribe: Callable[[], None],
         crash: Callable[[BaseException], None],
+        loop: Loop | None = None,
     ) -> None:
-        self._loop = asyncio.get_running_loop()
+        """`loop`: where it waits and takes the time from; asyncio's running one by default. Another one is
+        taken never to be late."""
+        self._loop: Loop = asyncio.get_running_loop() if loop is None else loop
         self._settings = settings
         self._balancer = Balancer(settings, seed)
         self._upstream = upstream
@@ -136,14 +159,14 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._now_ms = 0.0
-        self._lag = LagMeter()
+        self._lag = LagMeter(self._loop) if loop is None else None
         self.observer: Observer | None = None
         self.admission: Admission | None = None
 
     # The module's clock, events and actions
 
     def now_ms(self) -> float:
-        self._now_ms = max(self._now_ms, time.monotonic() * 1000)
+        self._now_ms = max(self._now_ms, self._loop.time() * 1000)
         return self._now_ms
 
     def tell(self, event: Event) -> None:
@@ -235,7 +258,7 @@
         self._last_id += 1
         deadline_ms = None
         if call.timeout_ms is not None:
-            margin_ms = MARGIN_MS + self._lag.peak_ms
+            margin_ms = MARGIN_MS + (self._lag.peak_ms if self._lag is not None else 0.0)
             # Danger: a call that has waited behind another has less time left than it asked for.
             deadline_ms = call.arrived_ms + call.timeout_ms - margin_ms
         request = Request(self._last_id, call, deadline_ms)
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import difflib
 import os
 import stat
 import tomllib
@@ -15,10 +14,12 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-from msgspec import Meta, Struct, ValidationError, convert
+from msgspec import Meta, Struct
 from msgspec import json as msgspec_json
 from msgspec.structs import fields
 
+from cloverrouter.strict import Fault, FileError, read_file, table, unknown
+
 VARIABLE = "PROXY_SITE"
 MOST_BYTES = 256 * 1024
 MOST_PATH = 107  # bytes of a Unix socket's path, its closing zero left out (unix(7))
@@ -84,50 +85,8 @@
     vrrp: Vrrp = Vrrp()
 
 
-class Fault(Struct, frozen=True):
-    """One thing that is wrong: where, what, and what would be right."""
-
-    key: str
-    text: str
-    right: str
-
-    def __str__(self) -> str:
-        return f"{self.key}: {self.text}; {self.right}" if self.key else f"{self.text}; {self.right}"
-
-
-class SiteError(ValueError):
-    """The file can't be used. `faults` has everything that is wrong with it."""
-
-    def __init__(self, path: str, faults: list[Fault]) -> None:
-        super().__init__("\n".join(f"{path}: {fault}" for fault in faults))
-        self.path, self.faults = path, faults
-
-
-def _unknown(what: str, name: str, known: list[str]) -> Fault:
-    close = difflib.get_close_matches(name, known, 1)
-    right = f"did you mean {close[0]!r}? " if close else ""
-    return Fault(name, f"no such {what}", f"{right}known here: {', '.join(known)}")
-
-
-def _table(name: str, kind: type[Struct], told: Any, faults: list[Fault]) -> Struct | None:
-    """One table's settings; None, and the reasons in `faults`, if anything in it is wrong."""
-    if not isinstance(told, dict):
-        faults.append(Fault(name, f"is {told!r}", f"must be a table, written [{name}]"))
-        return None
-    before = len(faults)
-    known = {field.name: field for field in fields(kind)}
-    values: dict[str, Any] = {}
-    for key, value in told.items():
-        if key not in known:
-            fault = _unknown("setting", key, list(known))
-            faults.append(Fault(f"{name}.{key}", fault.text, fault.right))
-            continue
-        try:
-            values[key] = convert(value, known[key].type)
-        except ValidationError:
-            schema = known[key].type.__metadata__[-1]
-            faults.append(Fault(f"{name}.{key}", f"is {value!r}", f"must be {schema.description}"))
-    return kind(**values) if len(faults) == before else None
+class SiteError(FileError):
+    """The operators' file can't be used."""
 
 
 def read(text: str) -> tuple[Site | None, list[Fault]]:
@@ -141,9 +100,9 @@
     tables: dict[str, Any] = {}
     for name, value in told.items():
         if name not in kinds:
-            faults.append(_unknown("table", name, list(kinds)))
+            faults.append(unknown("table", name, list(kinds)))
         else:
-            tables[name] = _table(name, kinds[name], value, faults)
+            tables[name] = table(name, kinds[name], value, faults)
     if faults:
         return None, faults
     site = Site(**tables)
@@ -202,19 +161,9 @@
 
 def load(path: str) -> Site:
     """Raises `SiteError` for a file that is missing, too large, or wrong in any way."""
-    try:
-        with open(path, "rb") as file:
-            data = file.read(MOST_BYTES + 1)
-    except OSError as error:
-        fault = Fault("", f"can't be read: {error.strerror}", "give a readable file")
-        raise SiteError(path, [fault]) from error
-    if len(data) > MOST_BYTES:
-        raise SiteError(path, [Fault("", "is too large", f"at most {MOST_BYTES} bytes")])
-    try:
-        text = data.decode()
-    except UnicodeDecodeError as error:
-        fault = Fault("", f"is no UTF-8 text: byte {error.start} can't be read", "save it as UTF-8")
-        raise SiteError(path, [fault]) from error
+    text, faults = read_file(path, MOST_BYTES)
+    if text is None:
+        raise SiteError(path, faults)
     site, faults = read(text)
     if site is None:
         raise SiteError(path, faults)
