Lab: one stand-in for all: peers, relay, demo and the pair's network move into it

Need: three record servers, two discoveries, two offices and a simulated network each stood in tests and demo. Change: tests/sockets.py and the standins of offices and relay become lab/peers.py, lab/process.py and lab/relay.py; the demo plays the village scenario on the lab's sockets driver; the pair's simulation runs on the lab's engine and loss model. What a client does about answers has draws of its own, so that variants meet the same arrivals.

--- a/benchmarks/console.py
+++ b/benchmarks/console.py
@@ -22,9 +22,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.sockets import Client, Discovery, Proxy, running
+from cloverrouter.lab.peers import Account, Client, Discovery, Proxy, running, working_host
 from tests.standins.appliance import boxed
-from tests.standins.offices import Account, working_host
 from tests.standins.terminal import on_terminal
 
 VARIANTS = ("before", "off", "none", "one", "eight")
--- a/cloverrouter/lab/engine.py
+++ b/cloverrouter/lab/engine.py
@@ -46,6 +46,17 @@
         self._number += 1
         heapq.heappush(self._heap, (self.now + max(0.0, delay), self._number, None, callback, args))
 
+    def step(self, until: float) -> bool:
+        """Let the next thing happen, if it does before `until`."""
+        while self._heap and self._heap[0][0] < until:
+            at, _, timer, callback, args = heapq.heappop(self._heap)
+            if timer is None or not timer.cancelled:
+                self.now = at
+                self.events += 1
+                callback(*args)
+                return True
+        return False
+
     def run(self, until: float) -> None:
         """Let time pass up to `until`, or until nothing is left to happen."""
         heap, pop = self._heap, heapq.heappop
--- a/cloverrouter/lab/load.py
+++ b/cloverrouter/lab/load.py
@@ -69,7 +69,7 @@
         name=office.name, rate=rate, arrivals="poisson", retries=office.retries, backoff_ms=office.backoff_ms,
         honour=office.honour, try_share=office.try_share, connections=office.connections,
     )  # fmt: skip
-    draws = Draws(seed, "load", part)
+    draws = Draws(seed, "load", part), Draws(seed, "moods", part)
     clients.append(
         Clients(loop, kind, 0, rate, Mix(scenario.class_), Level(), draws, numbers, port, ledger, seconds)
     )
--- a/cloverrouter/lab/office.py
+++ b/cloverrouter/lab/office.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import accumulate
 from math import inf, pi, sin
@@ -133,14 +133,17 @@
         rate: float,
         mix: Mix,
         level: Level,
-        draws: Draws,
+        draws: tuple[Draws, Draws],
         numbers: Numbers,
         port: Port,
         ledger: Ledger,
         until_s: float,
     ) -> None:
         self._loop, self._kind, self._proxy, self._rate = loop, kind, proxy, rate
-        self._mix, self._level, self._draws, self._numbers = mix, level, draws, numbers
+        self._mix, self._level, self._numbers = mix, level, numbers
+        # What a client does about its answers has draws of its own: were they the arrivals', two variants
+        # would meet other requests from the first retry on.
+        self._draws, self._moods = draws
         self._port, self._ledger, self._until_s = port, ledger, until_s
         self._peak = max((factor for _, factor in kind.curve), default=1.0)
         self._burst, self._burst_ends_s = False, 0.0
@@ -209,8 +212,8 @@
     ) -> None:
         patience_s = kind.deadline_ms / 1000 * self._kind.try_share
         ask = Ask(number, first, self._proxy, kind, work_ms, meant_s, first_s, patience_s, attempt)
-        if self._kind.leave_share and self._draws.uniform() < self._kind.leave_share:
-            ask.leaves_s = patience_s * self._draws.uniform()
+        if self._kind.leave_share and self._moods.uniform() < self._kind.leave_share:
+            ask.leaves_s = patience_s * self._moods.uniform()
         self._ledger.asked(ask)
         ask.sent_s = self._loop.time()
         if not self._port.ask(ask):
@@ -236,8 +239,8 @@
         left_early = got == "left" and ask.leaves_s < ask.patience_s
         if got == "served" or left_early or ask.attempt >= self._kind.retries:
             return
-        wait_s = self._kind.backoff_ms / 1000 * self._draws.between(0.5, 1.5)
-        if retry_after_s and self._draws.uniform() < self._kind.honour:
+        wait_s = self._kind.backoff_ms / 1000 * self._moods.between(0.5, 1.5)
+        if retry_after_s and self._moods.uniform() < self._kind.honour:
             wait_s = max(wait_s, retry_after_s)
         self._loop.call_later(wait_s, self._again, ask, now_s + wait_s)
 
@@ -246,11 +249,13 @@
         self._try(number, ask.first, ask.kind, ask.work_ms, meant_s, ask.first_s, ask.attempt + 1)
 
 
+def draws_of(seed: int, office: int, proxy: int) -> tuple[Draws, Draws]:
+    """An office's clients' at one proxy: for what they ask, and for what they do about the answers."""
+    return Draws(seed, "clients", office, proxy), Draws(seed, "moods", office, proxy)
+
+
 def rates_of(kind: Office, proxies: int, draws: Draws) -> dict[int, float]:
     """How an office's rate is shared out among its proxies."""
     which = list(kind.proxies) or list(range(proxies))
     parts = [draws.lognormal(1.0, kind.unequal) for _ in which]
     return {index: kind.rate * part / sum(parts) for index, part in zip(which, parts, strict=True)}
-
-
-Starter = Callable[[], None]
--- a/tests/sockets.py
+++ b/cloverrouter/lab/peers.py
@@ -1,22 +1,25 @@
-"""Fake hosts, discovery and clients on loopback, and the program itself, for tests over sockets."""
+"""Scripted peers on loopback: hosts, discovery and clients that do and say exactly what a test tells them.
+
+What behaves as the real ones do stands in the rules (`server`, `registry`, `office`) and their shells
+(`http`).
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import os
-import random
-import subprocess
-import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-LONG_S = 30.0  # for what surely comes; a test that waits this long has failed
+from cloverrouter.lab.process import LONG_S as LONG_S
+from cloverrouter.lab.process import ProxyProcess, own_address
+
 Respond = Callable[["Seen", asyncio.StreamWriter], Awaitable[None]]
 
 SETTINGS: dict[str, Any] = {
@@ -198,9 +201,14 @@
         self.reader, self.writer = reader, writer
         self.count = 0
 
+    @property
+    def next_name(self) -> str:
+        """The id of the request that is asked next."""
+        return f"{id(self):x}-{self.count + 1}"
+
     def send(self, target: str, body: bytes = b"x", timeout_ms: object = 2500, extra: str = "") -> None:
+        name = self.next_name
         self.count += 1
-        name = f"{id(self):x}-{self.count}"
         key = f"Idempotency-Key: k{name}\r\n" if target.startswith("/keyed") else ""
         head = (
             f"POST {target} HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: {name}\r\n{key}{extra}"
@@ -217,44 +225,11 @@
         return await self.read()
 
 
-class Proxy:
-    """The program, started as `run` says but with this interpreter."""
-
-    def __init__(self, address: str, process: subprocess.Popen[bytes], stderr: Path, config: Path) -> None:
-        self.address, self.process, self._stderr, self.config = address, process, stderr, config
-
-    def log(self) -> str:
-        return self._stderr.read_text()
-
-    async def logged(self, text: str) -> None:
-        end = time.monotonic() + LONG_S
-        while text not in self.log():
-            assert self.process.poll() is None and time.monotonic() < end, self.log()
-            await asyncio.sleep(0.02)
+class Proxy(ProxyProcess):
+    """The program, and clients of it."""
 
     async def client(self) -> Client:
-        host, port = self.address.split(":")
-        return Client(*await asyncio.open_connection(host, int(port)))
-
-    async def health(self) -> int | None:
-        try:
-            client = await self.client()
-            client.writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
-            status = (await client.read()).status
-            client.writer.close()
-            return status
-        except OSError:
-            return None
-
-    async def wait_health(self, *statuses: int) -> None:
-        end = time.monotonic() + LONG_S
-        while await self.health() not in statuses:
-            assert self.process.poll() is None, self.log()
-            assert time.monotonic() < end
-            await asyncio.sleep(0.02)
-
-    async def ended(self) -> int:
-        return await asyncio.get_running_loop().run_in_executor(None, self.process.wait, LONG_S)
+        return Client(*await asyncio.open_connection(*self.endpoint))
 
 
 @asynccontextmanager
@@ -263,34 +238,81 @@
     hosts: list[Host],
     known: bool = True,
     ready: tuple[int, ...] = (200,),
-    command: list[str] | str = [sys.executable, "-m", "cloverrouter.proxy"],  # noqa: B006
+    command: list[str] | str | None = None,
     settings: dict[str, Any] | None = None,
     environ: dict[str, str] | None = None,
 ) -> AsyncIterator[Proxy]:
     """The program with these hosts, up and answering."""
     discovery.entries.update({host.name: host.entry() for host in hosts})
-    # An address of its own: no other test, and no connection's own end, can hold the port.
-    address = "127." + ".".join(str(random.randrange(1, 255)) for _ in range(3)) + ":3000"
-    told = {"name": "n0", "listen": address, "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
+    told = {"name": "n0", "listen": own_address(), "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
             "settings": {**SETTINGS, **(settings or {})}}  # fmt: skip
     if known:
         told["known"] = discovery.listing()
     with tempfile.TemporaryDirectory() as folder:
-        path, stderr = Path(folder, "config.json"), Path(folder, "log")
-        path.write_text(json.dumps(told))
-        with stderr.open("wb") as log:
-            process = subprocess.Popen(
-                command,
-                env={**os.environ, "PROXY_CONFIG": str(path), **(environ or {})},
-                stderr=log,
-                shell=isinstance(command, str),
-            )
-        proxy = Proxy(address, process, stderr, path)
+        proxy = Proxy(told, Path(folder), command, environ)
+        proxy.start()
         try:
             await proxy.wait_health(*ready)
             yield proxy
         finally:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
+            proxy.close()
+
+
+@dataclass
+class Account:
+    """What servers received, by server: when, and which request; and how each was answered."""
+
+    received: dict[str, list[tuple[float, str]]] = field(default_factory=dict)
+    answers: dict[str, list[int]] = field(default_factory=dict)
+
+    def since(self, server: str, moment_s: float) -> int:
+        return sum(at_s > moment_s for at_s, _ in self.received[server])
+
+    def runs(self) -> Counter[str]:
+        return Counter(name for got in self.received.values() for _, name in got)
+
+    def check(self) -> None:
+        """No request lost, none answered twice, none run twice, where nothing fails."""
+        assert self.answers
+        assert all(len(told) == 1 for told in self.answers.values())
+        assert max(self.runs().values()) == 1
+
+
+async def working_host(name: str, account: Account, work_s: float = 0.02) -> Host:
+    """A server that takes a while for each request and notes when it came."""
+    account.received[name] = []
+
+    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        account.received[name].append((time.monotonic(), seen.message.headers["x-request-id"]))
+        await asyncio.sleep(work_s)
+        writer.write(ok(name.encode(), b"X-Server-Load: inflight=3,queue=1\r\n"))
+
+    return await Host(name, respond).start()
+
+
+class Askers:
+    """`count` connections, each asking one request after the other, every other one an entry-register."""
+
+    def __init__(self, proxy: Proxy, account: Account, count: int = 4, pause_s: float = 0.02) -> None:
+        self._proxy, self._account, self._pause_s = proxy, account, pause_s
+        self._stopping = False
+        self._tasks = [asyncio.get_running_loop().create_task(self._run()) for _ in range(count)]
+
+    async def _run(self) -> None:
+        client = await self._proxy.client()
+        while not self._stopping:
+            name = client.next_name
+            answer = await client.ask("/unsafe" if client.count % 2 else "/keyed")
+            self._account.answers.setdefault(name, []).append(answer.status)
+            if answer.headers.get("connection") == "close":
+                client.writer.close()
+                count, client = client.count, await self._proxy.client()
+                client.count = count
+            await asyncio.sleep(self._pause_s)
+        client.writer.close()
+
+    async def stop(self) -> None:
+        """Every request under way gets its answer first."""
+        self._stopping = True
+        await asyncio.gather(*self._tasks)
--- a/tests/standins/relay.py
+++ b/cloverrouter/lab/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import cast
 
@@ -10,22 +11,43 @@
 
 
 class Way:
-    """One direction. `loss` from 0 to 1, `delay_s` at the most, `double` the share that comes twice."""
-
-    def __init__(self, random: Random) -> None:
-        self._random = random
-        self.loss, self.delay_s, self.double = 0.0, 0.0, 0.0
+    """One direction of a network of datagrams: loss, delays, copies, cuts.
+
+    `loss` and `double` are shares; `delay` draws how late a copy comes (seconds, or whatever the caller's
+    time is in). With `bursts`, mean lengths of a bad and of a good state, datagrams are lost in the bad one
+    only (Gilbert 1960).
+    """
+
+    def __init__(
+        self,
+        random: Random,
+        delay: Callable[[], float] = lambda: 0.0,
+        bursts: tuple[float, float] | None = None,
+        loss: float = 0.0,
+        double: float = 0.0,
+    ) -> None:
+        self._random, self._bursts = random, bursts
+        self.delay, self.loss, self.double = delay, loss, double
         self.cut = False
+        self.cut_until = 0.0
+        self._bad, self._until = bursts is None, float("inf") if bursts is None else 0.0
         self.passed = self.lost = 0
 
-    def times(self) -> list[float]:
-        """After how long each copy goes on; none if it is lost."""
-        if self.cut or self._random.random() < self.loss:
-            self.lost += 1
-            return []
-        self.passed += 1
-        copies = 2 if self._random.random() < self.double else 1
-        return [self._random.random() * self.delay_s for _ in range(copies)]
+    def times(self, now: float) -> list[float]:
+        """After how long each copy comes; none if it is lost."""
+        random = self._random
+        while now >= self._until and self._bursts is not None:
+            self._bad = not self._bad
+            self._until += random.expovariate(1 / self._bursts[0 if self._bad else 1])
+        copies = 2 if random.random() < self.double else 1
+        found = []
+        for _ in range(copies):
+            lost = self._bad and random.random() < self.loss
+            if not (lost or self.cut or now < self.cut_until):
+                found.append(self.delay())
+        self.lost += not found
+        self.passed += bool(found)
+        return found
 
 
 class End(asyncio.DatagramProtocol):
@@ -42,7 +64,7 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         assert self.other is not None
         loop = asyncio.get_running_loop()
-        for wait_s in self.way.times():
+        for wait_s in self.way.times(loop.time()):
             loop.call_later(wait_s, self.other.send_on, data, self.target)
 
     def send_on(self, data: bytes, target: Address) -> None:
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -226,7 +226,7 @@
     name: Name
     about: Text = ""
     version: Annotated[int, Meta(description=f"the format's version, {VERSION}")] = VERSION
-    seconds: Annotated[float, Meta(gt=0, le=3600, description="seconds above 0, 3600 at most")] = 30.0
+    seconds: Annotated[float, Meta(gt=0, le=86_400, description="seconds above 0, 86400 at most")] = 30.0
     class_: Annotated[
         tuple[Class, ...], Meta(min_length=1, max_length=50, description="tables, written [[class]]")
     ] = ()
--- a/cloverrouter/lab/shrink.py
+++ b/cloverrouter/lab/shrink.py
@@ -38,6 +38,7 @@
         change(smaller)
         return smaller
 
+    told = {"servers": [{}], "office": [{}], **told}  # named, though they are at their defaults
     faults, seconds = told.get("fault", []), told.get("seconds", 30.0)
     if len(faults) > 1:
         yield but(lambda t: t.update(fault=faults[: len(faults) // 2]))
--- a/cloverrouter/lab/simulation.py
+++ b/cloverrouter/lab/simulation.py
@@ -11,7 +11,7 @@
 from cloverrouter.lab.engine import Engine
 from cloverrouter.lab.faults import Timeline
 from cloverrouter.lab.monitors import Monitors, RuleBroken
-from cloverrouter.lab.office import Ask, Clients, Got, rates_of
+from cloverrouter.lab.office import Ask, Clients, Got, draws_of, rates_of
 from cloverrouter.lab.registry import Entry
 from cloverrouter.lab.scenario import Scenario, plain
 from cloverrouter.lab.server import Job, Server, Watching
@@ -63,7 +63,7 @@
         for at, office in enumerate(scenario.office):
             rates = rates_of(office, scenario.proxies.count, Draws(seed, "office", at))
             for index, rate in rates.items():
-                draws = Draws(seed, "clients", at, index)
+                draws = draws_of(seed, at, index)
                 clients = Clients(
                     self.engine, office, index, rate, self.mix, self.level, draws, self.parties.numbers,
                     self._port(index, len(self._clients.get(index, []))), self.account, scenario.seconds,
--- a/cloverrouter/lab/sockets.py
+++ b/cloverrouter/lab/sockets.py
@@ -8,11 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from collections.abc import Callable
@@ -26,7 +22,8 @@
 from cloverrouter.lab.faults import Timeline
 from cloverrouter.lab.http import LATE_S, Address, HttpPort, StandIn, StandInDiscovery
 from cloverrouter.lab.monitors import Monitors, RuleBroken
-from cloverrouter.lab.office import Ask, Clients, Got, rates_of
+from cloverrouter.lab.office import Ask, Clients, Got, draws_of, rates_of
+from cloverrouter.lab.process import ProxyProcess, own_address
 from cloverrouter.lab.registry import Entry, Listing
 from cloverrouter.lab.scenario import Scenario, plain
 from cloverrouter.lab.server import Job, Server, Watching
@@ -35,104 +32,17 @@
 
 MOST_PROXIES = 64  # each is a process
 MOST_SECONDS = 600.0
-UP_S = 30.0
 LATE_LOAD_MS = 20.0  # from here on the load is not what the scenario asks for
 UNSENT_SHARE = 0.01
 SLACK_S = 0.05
-ROOT = Path(__file__).resolve().parents[2]
-
-
-class ProxyProcess:
-    """The program, started as `run` says but with this interpreter."""
-
-    def __init__(
-        self,
-        config: dict[str, Any],
-        folder: Path,
-        constants: dict[str, float] | None = None,
-        arguments: tuple[str, ...] = (),
-        environ: dict[str, str] | None = None,
-    ) -> None:
-        """`constants`: the module's, where they differ. `arguments`: to `python -m cloverrouter run`."""
-        self.name = config["name"]
-        host, _, port = config["listen"].rpartition(":")
-        self.address: Address = (host, int(port))
-        self.config, self.log = folder / f"{self.name}.json", folder / f"{self.name}.log"
-        self.config.write_text(json.dumps(config))
-        self._environ = {
-            **os.environ, "PROXY_CONFIG": str(self.config), **(environ or {}),
-            "PYTHONPATH": os.pathsep.join(filter(None, (str(ROOT), os.environ.get("PYTHONPATH")))),
-        }  # fmt: skip
-        for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
-            self._environ.pop(name, None)
-        self._command = [sys.executable, "-m", "cloverrouter.proxy"]
-        if arguments:
-            self._command = [sys.executable, "-m", "cloverrouter", "run", *arguments]
-        if constants:
-            setting = "".join(
-                f"decide.{name} = type(decide.{name})({value!r}); " for name, value in constants.items()
-            )
-            program = f"import sys; from cloverrouter import decide; {setting}"
-            program += "from cloverrouter.proxy.__main__ import main; sys.exit(main())"
-            self._command = [sys.executable, "-c", program]
-        self.process: subprocess.Popen[bytes] | None = None
-        self._cpu_s = 0.0
-
-    def start(self) -> None:
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                self._command, env=self._environ, stdin=subprocess.DEVNULL, stderr=log, start_new_session=True
-            )
-
-    async def wait_ready(self) -> None:
-        """Raises RuntimeError, with its log, if it does not come up."""
-        until = time.monotonic() + UP_S
-        while True:
-            if self.process is None or self.process.poll() is not None or time.monotonic() > until:
-                raise RuntimeError(f"{self.name} did not come up:\n{self.log.read_text()}")
-            with suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(*self.address)
-                writer.write(b"GET /healthz HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b" 200 " in line:
-                    return
-            await asyncio.sleep(0.02)
-
-    @property
-    def up(self) -> bool:
-        return self.process is not None and self.process.poll() is None
-
-    def cpu_s(self) -> float:
-        """That it has used so far, in all its lives."""
-        if self.process is not None and self.up:
-            with suppress(OSError):
-                words = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-                return self._cpu_s + (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
-        return self._cpu_s
-
-    def signal(self, number: int) -> None:
-        self._cpu_s = self.cpu_s()
-        if self.process is not None and self.up:
-            self.process.send_signal(number)
-
-    def close(self) -> None:
-        if self.process is not None:
-            if self.up:
-                self.process.kill()
-            self.process.wait()
-
-
-def loopback_address(draws: Draws) -> str:
-    """An address of its own for a listener: no other run, and no connection's own end, can hold the port."""
-    return "127." + ".".join(str(1 + int(254 * draws.uniform())) for _ in range(3)) + ":3000"
 
 
 class Play:
     """One run on sockets. The parties see it as their `World`."""
 
-    def __init__(self, scenario: Scenario, seed: int, folder: Path) -> None:
-        self.scenario, self.seed, self._folder = scenario, seed, folder
+    def __init__(self, scenario: Scenario, seed: int, folder: Path, command: list[str] | None = None) -> None:
+        """`command`: what starts a proxy, where that is not `run` without an operators' file."""
+        self.scenario, self.seed, self._folder, self._command = scenario, seed, folder, command
         self.loop = asyncio.get_running_loop()
         self._offset_s = time.time() - self.loop.time()
         self.account = Account(scenario)
@@ -176,22 +86,23 @@
                 stand_in.open()
             self.registry.begin([self._entry(server) for server in self.servers.values()])
             self._discovery.open()
-            addresses = Draws(self.seed ^ os.getpid(), "addresses")
             for i, name in enumerate(self._names):
                 discovery = self._discovery.address(name)
                 config = {
                     "name": name,
-                    "listen": loopback_address(addresses),
+                    "listen": own_address(),
                     "discovery": f"{discovery[0]}:{discovery[1]}",
                     "seed": f"{Draws(self.seed, name).whole():x}",
                     "limits": {"sockets": scenario.proxies.sockets},
                     "settings": facts_of(scenario, i, self.net.hall(name)),
                     "known": self._discovery.as_json(self.registry.listing(), name),
                 }
-                self.proxies[name] = ProxyProcess(config, self._folder, scenario.proxies.module)
+                self.proxies[name] = ProxyProcess(
+                    config, self._folder, self._command, constants=scenario.proxies.module
+                )
                 self.proxies[name].start()
             for proxy in self.proxies.values():
-                await proxy.wait_ready()
+                await proxy.wait_health(200)
             cpu_s = sum(proxy.cpu_s() for proxy in self.proxies.values())
             self.account.begun_s = self.loop.time()
             clients = self._clients()
@@ -216,11 +127,11 @@
         for at, office in enumerate(self.scenario.office):
             rates = rates_of(office, self.scenario.proxies.count, Draws(self.seed, "office", at))
             for index, rate in rates.items():
-                draws = Draws(self.seed, "clients", at, index)
+                draws = draws_of(self.seed, at, index)
                 # The two know each other: the port tells the clients what came.
                 box: list[Clients] = []
                 port = HttpPort(
-                    self.proxies[f"p-{index}"].address, office.connections, self._answer_to(box), self._sent,
+                    self.proxies[f"p-{index}"].endpoint, office.connections, self._answer_to(box), self._sent,
                     self._lost, self._late.append,
                 )  # fmt: skip
                 clients = Clients(
--- a/tests/console/test_terminal.py
+++ b/tests/console/test_terminal.py
@@ -16,9 +16,8 @@
 
 import pytest
 
-from tests.sockets import LONG_S, Discovery, Host, Proxy, running
+from cloverrouter.lab.peers import LONG_S, Account, Askers, Discovery, Host, Proxy, running, working_host
 from tests.standins.appliance import Box, boxed
-from tests.standins.offices import Account, Offices, working_host
 from tests.standins.terminal import Terminal, on_terminal
 
 LINE = 960  # bytes a second at 9,600 baud
@@ -30,10 +29,10 @@
     account = Account()
     hosts = [await working_host(f"s-{i}", account) for i in (1, 2, 3)]
     async with boxed(hosts) as (box, proxy, discovery):
-        offices = Offices(proxy, account)
+        offices = Askers(proxy, account)
         yield box, proxy, discovery, hosts, account
         await offices.stop()
-        offices.check()
+        account.check()
 
 
 def on(box: Box, **how: Any) -> AbstractAsyncContextManager[tuple[Terminal, subprocess.Popen[bytes]]]:
@@ -291,7 +290,7 @@
 
     async def scene() -> None:
         async with on_terminal("demo", "--seconds", "60", baud=9600) as (terminal, process):
-            await terminal.sees("demo", "s-1", "s-2", "s-3", "all is well")
+            await terminal.sees("p-0", "s-1", "s-2", "s-3", "all is well")
             terminal.type("drain s-2\r")
             await terminal.sees("s-2          drained")
             terminal.type("quit\r")
--- a/tests/control/test_socket.py
+++ b/tests/control/test_socket.py
@@ -17,8 +17,8 @@
 from cloverrouter.control.events import Events
 from cloverrouter.control.protocol import encode
 from cloverrouter.control.server import ControlError, Server, open_socket
+from cloverrouter.lab.peers import LONG_S, Host, never, raw, reset, running
 from cloverrouter.seams import Argument, Command, Commands, Json, Operator
-from tests.sockets import LONG_S, Host, never, raw, reset, running
 from tests.standins.appliance import Line, boxed
 
 
--- a/tests/standins/appliance.py
+++ b/tests/standins/appliance.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from cloverrouter.control.protocol import MOST_ANSWER, encode
+from cloverrouter.lab.peers import LONG_S, Discovery, Host, Proxy, running
 from cloverrouter.seams import Json
-from tests.sockets import LONG_S, Discovery, Host, Proxy, running
 
 SITE = """
 [control]
--- a/tests/standins/terminal.py
+++ b/tests/standins/terminal.py
@@ -17,7 +17,7 @@
 
 import pyte
 
-from tests.sockets import LONG_S
+from cloverrouter.lab.peers import LONG_S
 
 TICK_S = 0.01
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,9 +8,7 @@
 from typing import Any
 
 from cloverrouter.interface import Idempotency
-from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.messages import Call
-from tests.sockets import (
+from cloverrouter.lab.peers import (
     LONG_S,
     SETTINGS,
     Client,
@@ -23,6 +21,8 @@
     ok,
     running,
 )
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.messages import Call
 
 ID = "X-Request-ID: 1\r\n"
 OWED_S = 3.0  # within which an error or a close is owed
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from tests.sockets import Discovery, Host, Proxy, running
+from cloverrouter.lab.peers import Discovery, Host, Proxy, running
 from tests.standins.appliance import boxed
 
 DIRECTIONS = ("site", "roster", "control", "console", "demo", "vrrp", "compose", "seams", "cli")
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -24,11 +24,11 @@
     Send,
     Settings,
 )
+from cloverrouter.lab.peers import Discovery, Host, Seen, answer_ok, never, ok, raw, running
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.messages import Answer
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.upstream import Connection, Upstream
-from tests.sockets import Discovery, Host, Seen, answer_ok, never, ok, raw, running
 from tests.test_upstream import FakeCall, full_listener, until
 
 OK = b"HTTP/1.1 200 OK\r\n"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.sockets import (
+from cloverrouter.lab.peers import (
     SETTINGS,
     Client,
     Discovery,
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from tests.sockets import Discovery, Host, Proxy, answer_ok, never, ok, running
+from cloverrouter.lab.peers import Discovery, Host, Proxy, answer_ok, never, ok, running
 
 
 def replace(proxy: Proxy, **changes: Any) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,12 +20,12 @@
     RequestClass,
     Settings,
 )
+from cloverrouter.lab.peers import LONG_S, Discovery, Host, never, ok
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_list
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node, read_report
 from cloverrouter.proxy.upstream import Upstream
-from tests.sockets import LONG_S, Discovery, Host, never, ok
 
 SETTINGS = Settings((RequestClass("unsafe", 1500, 3000, idempotency=Idempotency.UNSAFE),))
 
--- a/tests/vrrp/simulation.py
+++ b/tests/vrrp/simulation.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -14,6 +13,8 @@
 from random import Random
 from typing import Any
 
+from cloverrouter.lab.engine import Engine
+from cloverrouter.lab.relay import Way
 from cloverrouter.vrrp.lease import Lease, Release, Request, Terms, Voter
 from cloverrouter.vrrp.machine import Advertise, Heard
 from cloverrouter.vrrp.pair import Out, Pair, Shape, Tell
@@ -51,30 +52,15 @@
         return (local_ms - self.origin) / self.rate
 
 
-class Link:
-    """One direction: a two-state loss model, delays now and then far beyond a lease, copies."""
-
-    def __init__(self, random: Random, harsh: float, storm: bool) -> None:
-        self._random = random
-        self._late_ms = 60.0 if storm else 400.0
-        self._loss = random.uniform(0.1, 0.95) * harsh
-        self._bad_ms, self._good_ms = random.uniform(10, 600), random.uniform(50, 800)
-        self._late = 0.3 if storm else random.choice((0.0, 0.02, 0.2)) * harsh
-        self._copies = random.choice((0.0, 0.1))
-        self._bad, self._until_ms = False, 0.0
-        self.cut_until_ms = 0.0
-
-    def deliveries(self, now_ms: float) -> list[float]:
-        while now_ms >= self._until_ms:
-            self._bad = not self._bad
-            self._until_ms += self._random.expovariate(1 / (self._bad_ms if self._bad else self._good_ms))
-        times = []
-        for _ in range(2 if self._random.random() < self._copies else 1):
-            if now_ms < self.cut_until_ms or (self._bad and self._random.random() < self._loss):
-                continue
-            late = self._random.random() < self._late
-            times.append(now_ms + self._random.expovariate(1 / (self._late_ms if late else 3)))
-        return times
+def way(random: Random, harsh: float, storm: bool) -> Way:
+    """A direction that loses in bursts, and is late now and then far beyond a lease."""
+    late_ms, late = (60.0, 0.3) if storm else (400.0, random.choice((0.0, 0.02, 0.2)) * harsh)
+
+    def delay() -> float:
+        return random.expovariate(1 / (late_ms if random.random() < late else 3))
+
+    bursts = random.uniform(10, 600), random.uniform(50, 800)
+    return Way(random, delay, bursts, random.uniform(0.1, 0.95) * harsh, random.choice((0.0, 0.1)))
 
 
 class Node:
@@ -161,9 +147,7 @@
     def __init__(self, seed: int, parts: Parts | None = None) -> None:
         self.seed, self.parts = seed, parts or Parts()
         self.random = random = Random(seed)
-        self.now_ms = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
+        self.engine = Engine()  # its time is in ms here
         self.takes = 0
         witness = random.random() < 0.6
         self.weights = {"a": 1, "b": 1, "w": 1} if witness else {"a": 2, "b": 1}
@@ -171,7 +155,7 @@
         # Roles change so often that what was said in one is still under way in the next but one.
         storm = random.random() < 0.25
         self.links = {
-            (x, y): Link(random, harsh, storm) for x in ("a", "b", "w") for y in ("a", "b", "w") if x != y
+            (x, y): way(random, harsh, storm) for x in ("a", "b", "w") for y in ("a", "b", "w") if x != y
         }
         self.nodes: dict[str, Node] = {}
         equal = random.random() < 0.2
@@ -185,12 +169,16 @@
                     change = partial(random.choice((self._flap, self._bounce)), node)
                     self.at(random.uniform(0, LENGTH_MS), node, change)
         if storm and random.random() < 0.5:
-            self.links["a", "b"].cut_until_ms = self.links["b", "a"].cut_until_ms = LENGTH_MS
+            self.links["a", "b"].cut_until = self.links["b", "a"].cut_until = LENGTH_MS
         for _ in range(random.randrange(6)):
             self.at(random.uniform(0, LENGTH_MS), None, self._fault)
 
     # Events
 
+    @property
+    def now_ms(self) -> float:
+        return self.engine.now
+
     def at(self, time_ms: float, node: Node | None, call: Callable[[], None]) -> None:
         """At that time, or when the node runs again."""
 
@@ -201,8 +189,7 @@
             else:
                 call()
 
-        self._count += 1
-        heapq.heappush(self._events, (time_ms, self._count, due))
+        self.engine.post(time_ms - self.now_ms, due)
 
     def send(self, source: str, target: str, message: Any) -> None:
         if source == target:
@@ -210,8 +197,8 @@
             return
         node = self.nodes.get(target)
         if node is not None:
-            for time_ms in self.links[source, target].deliveries(self.now_ms):
-                self.at(time_ms, node, lambda: node.receive(source, message))
+            for wait_ms in self.links[source, target].times(self.now_ms):
+                self.at(self.now_ms + wait_ms, node, lambda: node.receive(source, message))
 
     def _fault(self) -> None:
         random, name = self.random, self.random.choice(list(self.nodes))
@@ -222,13 +209,13 @@
             case 1:
                 node.restart()
             case 2:  # one way
-                self.links[random.choice(list(self.links))].cut_until_ms = self.now_ms + random.uniform(
+                self.links[random.choice(list(self.links))].cut_until = self.now_ms + random.uniform(
                     50, 1500
                 )
             case 3:
                 for (x, y), link in self.links.items():
                     if name in (x, y):
-                        link.cut_until_ms = self.now_ms + random.uniform(50, 1500)
+                        link.cut_until = self.now_ms + random.uniform(50, 1500)
             case 4 if isinstance(node, BoxNode):  # flaps
                 for i in range(random.randrange(1, 12)):
                     self.at(self.now_ms + i * random.uniform(5, 200), node, lambda: self._flap(node))
@@ -254,9 +241,7 @@
         """Raises `TwoTake`, with the seed, when the invariant is broken."""
         a, b = self.nodes["a"], self.nodes["b"]
         assert isinstance(a, BoxNode) and isinstance(b, BoxNode)
-        while self._events and self._events[0][0] < LENGTH_MS:
-            self.now_ms, _, call = heapq.heappop(self._events)
-            call()
+        while self.engine.step(LENGTH_MS):
             if a.taking():
                 self.takes += 1
                 if b.taking():
--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -18,14 +18,13 @@
 
 import pytest
 
+from cloverrouter.lab.peers import LONG_S, Account, Discovery, Host, Proxy, never, ok, running, working_host
+from cloverrouter.lab.relay import Relay
 from cloverrouter.vrrp.lease import Terms
 from cloverrouter.vrrp.packet import Advertisement, encode
 from cloverrouter.vrrp.shell import Witness
 from cloverrouter.vrrp.wire import Courier, Kind
-from tests.sockets import LONG_S, Discovery, Host, Proxy, never, ok, running
 from tests.standins.appliance import Box
-from tests.standins.offices import Account, working_host
-from tests.standins.relay import Relay
 
 INTERVAL_CS, PROMISE_MS = 10, 400
 SECRET = b"sixteen bytes at the least"
@@ -450,7 +449,8 @@
         async with pair(tmp_path) as p:
             await p.until(a_takes)
             for way in (p.relay.a_to_b, p.relay.b_to_a):
-                way.loss, way.delay_s, way.double = 0.3, 0.15, 0.2
+                way.loss, way.double = 0.3, 0.2
+                way.delay = lambda: random.uniform(0, 0.15)
             async with load(p):
                 for _ in range(6):
                     for way in (p.relay.a_to_b, p.relay.b_to_a):
@@ -458,7 +458,7 @@
                     await asyncio.sleep(0.5)
                     await (p.a if random.random() < 0.5 else p.b).do(random.choice(("handover", "resume")))
                 for way in (p.relay.a_to_b, p.relay.b_to_a):
-                    way.cut, way.loss, way.delay_s = False, 0.0, 0.0
+                    way.cut, way.loss, way.delay = False, 0.0, lambda: 0.0
                 await p.a.do("resume")
                 await p.b.do("resume")
                 await p.until(a_takes)
