--- a/cloverrouter/lab/world.py
+++ b/cloverrouter/lab/world.py
@@ -55,8 +55,9 @@
             mean_work_ms=self._mean_work_ms, started_s=started_s, watching=self.watching,
         )  # fmt: skip
         for cls in self.scenario.class_:
+            server.groups[cls.name] = group_of(server, cls.group)
             if cls.effect == "keyed":
-                group = group_of(server, cls.group)
+                group = server.groups[cls.name]
                 memory = self._memories.get((cls.name, group))
                 if memory is None:
                     memory = self._memories[cls.name, group] = Memory(cls.window_ms / 1000)
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -9,6 +9,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from functools import lru_cache
 from typing import Protocol
 
 from cloverrouter.clock import Handle, Loop
@@ -54,6 +55,7 @@
 log = logging.getLogger(__name__)
 
 
+@lru_cache(maxsize=1024)  # a host repeats a reading in every answer until its next one
 def read_report(text: bytes | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
     """A host's load report in the order of `fields`; None if it is missing, or any of it is no figure."""
     if text is None or not fields:
