--- a/cloverrouter/lab/report.py
+++ b/cloverrouter/lab/report.py
@@ -62,7 +62,7 @@
 def _faults(axes: Axes, result: Result) -> None:
     """The faults as grey bands, each with its name."""
     for i, (from_s, to_s, what) in enumerate(result.series.faults[:12]):
-        axes.axvspan(from_s, to_s, color="#000000", alpha=0.08, linewidth=0)
+        axes.axvspan(from_s, to_s, color="#000000", alpha=0.08, linewidth=0, zorder=0)
         axes.annotate(
             what.split()[0], (from_s, 1.0), xycoords=("data", "axes fraction"),
             xytext=(2, -9 - 10 * (i % 4)), textcoords="offset points", fontsize=8, color="#333333",
@@ -91,8 +91,8 @@
 
 def _stack(series: dict[str, list[int]], label: str, result: Result) -> str:
     """Counts a second, stacked."""
-    figure, axes = _axes()
     names = sorted(series, key=lambda name: -sum(series[name]))[:MOST_SERVERS]
+    figure, axes = _axes(max(HEIGHT, 0.11 * len(names) + 0.7))
     if names:
         x = _seconds([float(v) for v in series[names[0]]])[0]
         layers = [_seconds([float(v) for v in series[name]])[1] for name in names]
@@ -102,7 +102,11 @@
             hatch=[HATCHES[i // len(COLOURS) % len(HATCHES)] for i in range(len(names))],
         )  # fmt: skip
         axes.legend(
-            loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False, fontsize=7 if len(names) > 8 else 8
+            loc="upper left",
+            bbox_to_anchor=(1.0, 1.0),
+            frameon=False,
+            fontsize=8,
+            ncols=1 + (len(names) > 10),
         )
     axes.set(xlabel="s", ylabel=label)
     _faults(axes, result)
@@ -189,7 +193,7 @@
     axes.grid(False)
     axes.set_xticks(range(len(first.values)), [str(value) for value in first.values])
     axes.set_yticks(range(len(second.values)), [str(value) for value in second.values])
-    axes.set(xlabel=first.path, ylabel=second.path, title=figure_name)
+    axes.set(xlabel=first.path, ylabel=second.path)
     figure.colorbar(shades)
     return _svg(figure)
 
--- a/tests/lab/test_files.py
+++ b/tests/lab/test_files.py
@@ -8,10 +8,30 @@
 from typing import Any
 
 import pytest
+from msgspec import Struct
+from msgspec.structs import fields
 
 from cloverrouter.lab.account import Figures, Result, Series
 from cloverrouter.lab.records import Store, read_run, write_run
-from cloverrouter.lab.scenario import MOST_REQUESTS, build, change, library, load, plain, read
+from cloverrouter.lab.scenario import (
+    KINDS,
+    MOST_REQUESTS,
+    Class,
+    Discovery,
+    Network,
+    Office,
+    Proxies,
+    Safety,
+    Scenario,
+    Servers,
+    Trouble,
+    build,
+    change,
+    library,
+    load,
+    plain,
+    read,
+)
 from cloverrouter.lab.sweep import Factor, cells_of, interval, paired, read_change, read_factor
 from cloverrouter.strict import FileError
 
@@ -190,3 +210,15 @@
     Path(other).write_text("no database at all, but a text that is long enough to be taken for one" * 20)
     with pytest.raises(FileError, match="no store of runs"):
         Store(other)
+
+
+def test_the_reference_names_every_setting_and_every_fault() -> None:
+    reference = (Path(__file__).resolve().parents[2] / "docs" / "lab-scenarios.md").read_text()
+    sections = reference.split("\n## ")[1:]
+    kinds: tuple[type[Struct], ...] = (
+        Scenario, Class, Office, Proxies, Servers, Safety, Discovery, Network, Trouble,
+    )  # fmt: skip
+    for kind, section in zip(kinds, sections, strict=True):
+        named = [line.split("`")[1] for line in section.splitlines() if line.startswith("| `")]
+        assert named[: len(fields(kind))] == [field.encode_name for field in fields(kind)]
+    assert named[len(fields(Trouble)) :] == list(KINDS)
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -9,7 +9,10 @@
 from cloverrouter.lab.peers import Discovery, Host, Proxy, running
 from tests.standins.appliance import boxed
 
-DIRECTIONS = ("site", "roster", "control", "console", "demo", "vrrp", "compose", "seams", "cli")
+DIRECTIONS = (
+    "site", "roster", "control", "console", "demo", "vrrp", "compose", "seams", "cli", "lab", "strict",
+)  # fmt: skip
+LIBRARIES = ("msgspec", "tomllib", "curses", "numpy", "hdrh", "matplotlib")
 
 
 def modules(log: str) -> set[str]:
@@ -35,7 +38,7 @@
             assert "cloverrouter.proxy.node" in loaded  # the list is there
             ours = {name for name in loaded if name.startswith("cloverrouter.")}
             assert not [name for name in ours if name.split(".")[1] in DIRECTIONS]
-            assert not [name for name in loaded if name.split(".")[0] in ("msgspec", "tomllib", "curses")]
+            assert not [name for name in loaded if name.split(".")[0] in LIBRARIES]
 
     asyncio.run(scene())
 
