Lab: drafts in memory, broken calls, longer delays, clients that change connections

Need: what the scenario is to say of servers, discovery, network and offices, and did not yet. Change: [[servers]] drafts, [[class]] objects and draft_saves, [[office]] keeps, faults break_calls and delay, on both drivers. Result: covered by the run on sockets with every kind of fault, and by a test of the drafts' bound.

--- a/cloverrouter/lab/faults.py
+++ b/cloverrouter/lab/faults.py
@@ -239,6 +239,23 @@
         self._world.registry.contradict()
         return self._world.registry.agree
 
+    def _break_calls(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
+        self._world.registry.break_share = fault.share
+
+        def end() -> None:
+            self._world.registry.break_share = 0.0
+
+        return end
+
+    def _delay(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
+        net = self._world.net
+        net.factor *= fault.factor
+
+        def end() -> None:
+            net.factor /= fault.factor
+
+        return end
+
     def _load(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
         level = self._world.level
         level.factor *= fault.factor
--- a/cloverrouter/lab/http.py
+++ b/cloverrouter/lab/http.py
@@ -175,8 +175,9 @@
     def request(self, target: bytes, headers: dict[bytes, bytes]) -> None:
         stand_in, server = self._stand_in, self._stand_in.server
         path, _, query = target.partition(b"?")
+        told = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
         try:
-            number, work_ms = int(headers[b"x-request-id"]), int(query.partition(b"w=")[2]) / 1000
+            number, work_ms = int(headers[b"x-request-id"]), int(told[b"w"]) / 1000
         except (KeyError, ValueError):
             self.write(b"404 Unknown", b"", b"")  # nobody's request: as the protocol has it
             return
@@ -186,6 +187,8 @@
             self._used = True
             work_ms += server.kind.handshake_ms
         job = Job(number, name, self._proxy, key, work_ms, self._reply)
+        if b"obj" in told:
+            job.about, job.saves = f"{name} {told[b'obj'].decode('latin-1')}", stand_in.saves.get(name, 0.0)
         stand_in.arrived(self._proxy, server, job)
         if not server.reachable or not stand_in.net.passes(self._proxy, server.name):
             return  # into the void: nothing tells
@@ -234,6 +237,7 @@
     ) -> None:
         self.server, self.net = server, net
         self.arrived, self.turned_away = arrived, turned_away
+        self.saves: dict[str, float] = {}  # by class: share of the work that a draft in memory saves
         self.connections: set[ServerConnection] = set()
         self._endpoints = {proxy: self._endpoint(proxy) for proxy in proxies}
 
@@ -414,9 +418,11 @@
         sent: Callable[[Ask], None] = lambda ask: None,
         lost_answer: Callable[[Ask], None] = lambda ask: None,
         late: Callable[[float], None] = lambda s: None,
+        keeps: Callable[[], bool] = lambda: True,
     ) -> None:
         self._address, self._most = address, most
         self._answered, self._sent, self._lost, self._late = answered, sent, lost_answer, late
+        self._keeps = keeps
         self._loop = asyncio.get_running_loop()
         self._idle: list[ClientConnection] = []
         self._all: set[ClientConnection] = set()
@@ -464,8 +470,9 @@
         connection.ask, self._by_ask[ask] = ask, connection
         name = ask.kind.name.encode()
         line = b"GET" if ask.kind.effect == "safe" else b"POST"
-        head = b"%b /%b?w=%d HTTP/1.1\r\nHost: lab\r\nX-Request-ID: %d\r\nX-Timeout-Ms: %d\r\n" % (
-            line, name, ask.work_ms * 1000, ask.number, ask.patience_s * 1000,
+        about = b"&obj=%d" % ask.about if ask.about else b""
+        head = b"%b /%b?w=%d%b HTTP/1.1\r\nHost: lab\r\nX-Request-ID: %d\r\nX-Timeout-Ms: %d\r\n" % (
+            line, name, ask.work_ms * 1000, about, ask.number, ask.patience_s * 1000,
         )  # fmt: skip
         if ask.kind.effect == "keyed":
             head += b"Idempotency-Key: k%d\r\n" % ask.number
@@ -480,7 +487,7 @@
 
     def done(self, connection: ClientConnection, status: int, after_s: float | None, keep: bool) -> None:
         ask, connection.ask = connection.ask, None
-        if keep and ask is not None:
+        if keep and ask is not None and self._keeps():
             self._idle.append(connection)
         else:
             connection.end()  # it ends, or an answer came that nobody asked for
--- a/cloverrouter/lab/network.py
+++ b/cloverrouter/lab/network.py
@@ -12,6 +12,7 @@
     def __init__(self, kind: Network, draws: Draws) -> None:
         self._kind, self._draws = kind, draws
         self.loss = kind.loss
+        self.factor = 1.0  # on all delays between machines
         self._cuts: list[tuple[tuple[str, ...], tuple[str, ...]]] = []
         self._halls: dict[str, str] = {}
 
@@ -26,6 +27,7 @@
         kind = self._kind
         mean_ms = kind.same_ms if self._halls.get(one) == self._halls.get(other) else kind.cross_ms
         late_ms = kind.resend_ms if self.loss and self._draws.uniform() < self.loss else 0.0
+        mean_ms *= self.factor
         return (mean_ms * (1 + kind.jitter * (2 * self._draws.uniform() - 1)) + late_ms) / 1000
 
     def client_delay_s(self) -> float:
--- a/cloverrouter/lab/office.py
+++ b/cloverrouter/lab/office.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from itertools import accumulate
 from math import inf, pi, sin
@@ -39,6 +39,7 @@
     attempt: int = 0
     leaves_s: float = inf  # after so long it is left, whatever comes
     sent_s: float = -1.0
+    about: int = 0  # the object it is about, from 1; 0: none
     over: bool = False
     timer: Handle | None = None
 
@@ -198,7 +199,8 @@
     def _arrive(self, meant_s: float) -> None:
         kind, work_ms = self._mix.draw(self._draws)
         number = self._numbers.next()
-        self._try(number, number, kind, work_ms, meant_s, meant_s, 0)
+        about = 1 + int(self._draws.uniform() * kind.objects) if kind.objects else 0
+        self._try(number, number, kind, work_ms, meant_s, meant_s, 0, about)
 
     def _try(
         self,
@@ -209,9 +211,11 @@
         meant_s: float,
         first_s: float,
         attempt: int,
+        about: int,
     ) -> None:
         patience_s = kind.deadline_ms / 1000 * self._kind.try_share
         ask = Ask(number, first, self._proxy, kind, work_ms, meant_s, first_s, patience_s, attempt)
+        ask.about = about
         if self._kind.leave_share and self._moods.uniform() < self._kind.leave_share:
             ask.leaves_s = patience_s * self._moods.uniform()
         self._ledger.asked(ask)
@@ -246,7 +250,7 @@
 
     def _again(self, ask: Ask, meant_s: float) -> None:
         number = self._numbers.next()
-        self._try(number, ask.first, ask.kind, ask.work_ms, meant_s, ask.first_s, ask.attempt + 1)
+        self._try(number, ask.first, ask.kind, ask.work_ms, meant_s, ask.first_s, ask.attempt + 1, ask.about)
 
 
 def draws_of(seed: int, office: int, proxy: int) -> tuple[Draws, Draws]:
@@ -254,6 +258,11 @@
     return Draws(seed, "clients", office, proxy), Draws(seed, "moods", office, proxy)
 
 
+def keeps_of(kind: Office, moods: Draws) -> Callable[[], bool]:
+    """Does a client keep its connection after this answer? Asked for each."""
+    return lambda: kind.keeps >= 1 or moods.uniform() < kind.keeps
+
+
 def rates_of(kind: Office, proxies: int, draws: Draws) -> dict[int, float]:
     """How an office's rate is shared out among its proxies."""
     which = list(kind.proxies) or list(range(proxies))
--- a/cloverrouter/lab/registry.py
+++ b/cloverrouter/lab/registry.py
@@ -53,6 +53,7 @@
         self._old: Listing | None = None  # told instead, where discovery is stale
         self._before = Listing(0, True, ())  # told every other time, where it contradicts itself
         self.silent = 0
+        self.break_share = 0.0  # of the calls
         self.contradicts = False
         self._calls = 0
         self.on_change: Callable[[Entry], None] = lambda entry: None  # it lists something else from now on
@@ -100,6 +101,9 @@
         if self.silent:
             return
         self._calls += 1
+        if self.break_share and self._draws.uniform() < self.break_share:
+            answer(None)
+            return
         if self._old is not None or (self.contradicts and self._calls % 2):
             old = self._before if self._old is None else self._old
             if since is None or self._old is None:
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -65,6 +65,8 @@
     worth: Factor = 1.0
     work_ms: SomeMs = 50.0  # mean, on a core of speed 1
     spread: Factor = 1.0  # standard deviation over mean; log-normal
+    objects: Count = 0  # that its requests are about, such as drafts; 0: none
+    draft_saves: Share = 0.0  # share of the work, where a server holds the object's draft
 
 
 class Office(Struct, frozen=True, kw_only=True):
@@ -87,6 +89,7 @@
     try_share: Least = 1.0  # a try is given up after this share of the class's deadline
     leave_share: Share = 0.0  # share of the tries that are left early
     connections: Some = 256
+    keeps: Share = 1.0  # share of the answers after which a client keeps its connection; on sockets
 
 
 class Proxies(Struct, frozen=True, kw_only=True):
@@ -127,6 +130,7 @@
     connections: Some = 76
     handshake_ms: Ms = 15.0  # of work, for each new connection
     error_share: Share = 0.0
+    drafts: Count = 0  # that it holds in memory, the last used; a new process has none
     report_ms: Ms = 500.0  # between two readings of its load
     drops_waiting: Flag = True  # what is called off while it waits is not begun
     jam_queue: Factor = 4.0  # so many waiting a core
@@ -181,6 +185,7 @@
     "silence": "discovery answers nothing",
     "stale": "discovery tells what it knew at the fault's begin",
     "lower_version": "discovery restarts, with a version that is lower",
+    "break_calls": "discovery breaks `share` of the calls",
     "contradict": "discovery tells what it knew at the fault's begin every other time",
     "load": "the offices' rate is `factor` times the usual",
     "hover": "the rate swings by `factor` round itself, once in `every_s`",
@@ -188,10 +193,12 @@
     "kill": "proxies die; after `for_s` they start again from nothing",
     "restart": "proxies get SIGTERM; after `for_s` they start again",
     "loss": "`share` of the messages are lost, and come late",
+    "delay": "messages between machines take `factor` times as long",
 }
 PROXY_KINDS = ("kill", "restart")
 WHOLE_KINDS = (
-    "silence", "stale", "lower_version", "contradict", "load", "hover", "heavy", "loss", "hall_lost", "cut",
+    "silence", "stale", "lower_version", "break_calls", "contradict", "load", "hover", "heavy", "loss",
+    "delay", "hall_lost", "cut",
 )  # fmt: skip
 Kind = Annotated[str, Meta(description="one of " + ", ".join(KINDS))]
 
--- a/cloverrouter/lab/server.py
+++ b/cloverrouter/lab/server.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Literal, NamedTuple
@@ -39,6 +39,8 @@
     reply: Callable[[Reply], None]
     came_s: float = 0.0
     begun: bool = False
+    about: str = ""  # the object it is about
+    saves: float = 0.0  # share of the work, where the object's draft is held
     repeat: bool = False  # its key is known: it is answered as its first was, without work
     done: bool = False
     run: int = 0  # counts the times its end was reckoned
@@ -117,6 +119,7 @@
         self.waiting: deque[Job] = deque()
         self.connections = 0
         self.most_connections = 0
+        self.drafts: OrderedDict[str, None] = OrderedDict()  # the last used at the end
         self.jammed_since: float | None = None
         self._crowded_since: float | None = None
         self._idle_since: float | None = None
@@ -203,10 +206,21 @@
         self.running.append(job)
         job.begun = True
         if not job.repeat:
-            job.left_ms = job.work_ms
+            job.left_ms = job.work_ms * (1 - job.saves * self._holds(job.about))
             self.watching.begun(self, job)
         self._reckon(job)
 
+    def _holds(self, about: str) -> bool:
+        """Is this object's draft in memory? If not, it is now."""
+        if not about or not self.kind.drafts:
+            return False
+        held = about in self.drafts
+        self.drafts[about] = None
+        self.drafts.move_to_end(about)
+        if len(self.drafts) > self.kind.drafts:
+            self.drafts.popitem(last=False)
+        return held
+
     def _forget(self, job: Job) -> None:
         """A job that never began leaves no trace in the group's memory."""
         memory = self.memories.get(job.class_name)
@@ -326,3 +340,4 @@
         self._report_s, self.service_ms = float("-inf"), 0.0
         self._sent.clear()
         self._sent_ms = 0.0
+        self.drafts.clear()
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -44,7 +44,8 @@
         self.arrived_ms = now_ms
         self.request_id = b"%d" % ask.number
         self.class_name = ask.kind.name
-        self.tenant = self.key = self.cost_ms = None
+        self.tenant = self.cost_ms = None
+        self.key = str(ask.about) if ask.about else None
         self.timeout_ms = ask.patience_s * 1000
         self.repeat = ask.attempt > 0
 
@@ -125,6 +126,8 @@
         ask = call.ask
         key = str(ask.number) if ask.kind.effect == "keyed" else None
         exchange.job = Job(ask.number, ask.kind.name, self._name, key, ask.work_ms, _nobody)
+        if ask.about:
+            exchange.job.about, exchange.job.saves = f"{ask.kind.name} {ask.about}", ask.kind.draft_saves
         pool, now_s = self._pools.get(host, []), self._engine.now
         while pool:
             conn = pool.pop()
--- a/cloverrouter/lab/sockets.py
+++ b/cloverrouter/lab/sockets.py
@@ -22,7 +22,7 @@
 from cloverrouter.lab.faults import Timeline
 from cloverrouter.lab.http import LATE_S, Address, HttpPort, StandIn, StandInDiscovery
 from cloverrouter.lab.monitors import Monitors, RuleBroken
-from cloverrouter.lab.office import Ask, Clients, Got, draws_of, rates_of
+from cloverrouter.lab.office import Ask, Clients, Got, draws_of, keeps_of, rates_of
 from cloverrouter.lab.process import ProxyProcess, own_address
 from cloverrouter.lab.registry import Entry, Listing
 from cloverrouter.lab.scenario import Scenario, plain
@@ -76,7 +76,9 @@
         self.monitors.listed(self.loop.time(), entry.name, entry.state == "active")
 
     def _stand_in(self, server: Server) -> StandIn:
-        return StandIn(server, self.net, self._names, self._arrived, self._turned_away)
+        found = StandIn(server, self.net, self._names, self._arrived, self._turned_away)
+        found.saves = {kind.name: kind.draft_saves for kind in self.scenario.class_}
+        return found
 
     async def run(self) -> Result:
         scenario = self.scenario
@@ -132,7 +134,7 @@
                 box: list[Clients] = []
                 port = HttpPort(
                     self.proxies[f"p-{index}"].endpoint, office.connections, self._answer_to(box), self._sent,
-                    self._lost, self._late.append,
+                    self._lost, self._late.append, keeps_of(office, draws[1]),
                 )  # fmt: skip
                 clients = Clients(
                     self.loop, office, index, rate, self.mix, self.level, draws, self.parties.numbers, port,
--- a/tests/lab/test_sockets.py
+++ b/tests/lab/test_sockets.py
@@ -16,7 +16,7 @@
 from cloverrouter.lab.network import Net
 from cloverrouter.lab.registry import Registry
 from cloverrouter.lab.scenario import Network, Safety, Scenario, Servers, change, load, read
-from cloverrouter.lab.server import Server
+from cloverrouter.lab.server import Job, Server
 from cloverrouter.lab.simulation import simulate
 from cloverrouter.lab.sockets import Play, play
 from cloverrouter.strict import FileError
@@ -32,6 +32,8 @@
 effect = "keyed"
 window_ms = 800
 work_ms = 20
+objects = 50
+draft_saves = 0.5
 [[class]]
 name = "entry"
 share = 0.4
@@ -40,8 +42,10 @@
 [[office]]
 rate = 60
 retries = 1
+keeps = 0.8
 [[servers]]
 count = 4
+drafts = 20
 halls = ["a", "b"]
 [discovery]
 add_s = 0.2
@@ -61,6 +65,8 @@
     ("drain", 4.0, 'for_s = 0.8\nservers = ["s-1"]'),
     ("release", 4.5, 'servers = ["s-2"]\ngap_s = 0.4\nwithin_s = 0.1\ntakes_address = true'),
     ("lower_version", 5.0, ""),
+    ("break_calls", 5.2, "for_s = 0.5\nshare = 0.5"),
+    ("delay", 5.5, "for_s = 0.5\nfactor = 20"),
 )
 
 
@@ -173,3 +179,26 @@
     registry.call(None, 0.0, heard.append)
     engine.run(10.0)
     assert len(heard) == 2
+
+
+def test_drafts_in_memory_are_bounded_and_lost_with_their_process() -> None:
+    engine, worked = Engine(), list[float]()
+    kind = Servers(drafts=2, handshake_ms=0)
+    server = Server(engine, "s-1", "a", 0, kind, Safety(), 1.0, Draws(1, "s"))
+
+    def took(*about: str) -> list[float]:
+        worked.clear()
+        for each in about:
+            begun = engine.now
+            job = Job(1, "c", "p", None, 100.0, lambda reply, begun=begun: worked.append(engine.now - begun))  # type: ignore[misc]
+            job.about, job.saves = each, 0.75
+            server.receive(job)
+            engine.run(engine.now + 1)
+        return [round(1000 * s) for s in worked]
+
+    assert took("x", "x", "y", "x") == [100, 25, 100, 25]
+    assert took("z", "x", "y") == [100, 25, 100]  # the oldest made room
+    server.crash()
+    server.start()
+    engine.run(engine.now + 10)
+    assert took("x", "x") == [100, 25]
