--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -1,12 +1,13 @@
 """What the lab costs, how it scales, and how near it comes to sockets.
 
-    python -m benchmarks.lab [cost] [scale] [load] [reality] [loops]
+    python -m benchmarks.lab [cost] [scale] [load] [reality] [order] [loops]
 
 cost: a run against its modules' decisions alone, fed from memory (aim: at most twice as long), in turns
 within one process. scale: a sweep of 1,000 runs with 1 and with 8 workers (aim: 6 times as fast). load: the
 load generator's ceiling with one process, against a bare sink (aim: over 5,000 requests a second). reality:
-six scenarios on both drivers (aim: served in aim within 3 points of 100, median within 15%). loops: events a
-second of the engine and, where it is installed, of SimPy.
+six scenarios on both drivers (aim: served in aim within 3 points of 100, median within 15%). order: the
+users' kinds of days, drawn from their ranges, the worst first. loops: events a second of the engine and,
+where it is installed, of SimPy.
 """
 
 from __future__ import annotations
@@ -25,14 +26,16 @@
 
 from cloverrouter import decide
 from cloverrouter.interface import Event
+from cloverrouter.lab.draws import Draws
 from cloverrouter.lab.engine import Engine
 from cloverrouter.lab.load import send_load
 from cloverrouter.lab.records import Store
-from cloverrouter.lab.scenario import change, load
+from cloverrouter.lab.scenario import Scenario, build, change, load, plain
 from cloverrouter.lab.simulation import Simulation, simulate
 from cloverrouter.lab.sockets import play
-from cloverrouter.lab.sweep import sweep
+from cloverrouter.lab.sweep import interval, sweep
 from cloverrouter.lab.text import table
+from cloverrouter.lab.workers import Run, spread
 
 ROUNDS = 5
 REAL = ("calm", "wedding-saturday", "rolling-release", "vanished-machine", "hall-lost", "fast-errors")
@@ -162,6 +165,67 @@
     print("\n".join(table(head, rows)))
 
 
+def day_of(kind: str, seed: int) -> Scenario:
+    """A day of the users' kind, drawn from the ranges that they state for their site."""
+    draws = Draws(seed, "order", kind)
+
+    def between(least: float, most: float) -> float:
+        return draws.between(least, most)
+
+    def log_between(least: float, most: float) -> float:
+        return least * float((most / least) ** draws.uniform())
+
+    seconds, servers = round(between(42, 55)), round(between(9, 12))
+    load_of = {"quiet": (0.3, 0.4), "overload": (1.1, 1.4)}.get(kind, (0.65, 0.78))
+    work_ms = {"extract-issue": between(34, 61), "entry-register": between(68, 120)}
+    share = between(0.54, 0.7)
+    mean_ms = share * work_ms["extract-issue"] + (1 - share) * work_ms["entry-register"]
+    speed = 0.3 * 1.5 + 0.7 * 0.97
+    ends = {"at_s": round(between(2, 12), 1), "for_s": 0.0}
+    fault: dict[str, Any] = {}
+    if kind == "fast_errors":
+        ends["for_s"] = between(5.7, 29)
+        fault = {"kind": "fail", "part": between(0.077, 0.19), "share": between(0.37, 0.97), **ends}
+        fault["part"] = max(fault["part"], 1 / servers)
+    elif kind == "pauses":
+        ends["for_s"] = between(10, 34)
+        fault = {"kind": "pauses", "part": between(0.17, 0.43), "pause_ms": between(120, 390), **ends}
+        fault["every_s"] = between(0.87, 2.5)
+    elif kind == "heavy_tail":
+        ends["for_s"] = between(10, 29)
+        fault = {"kind": "heavy", "share": log_between(0.0062, 0.028), "factor": log_between(5.5, 30), **ends}
+        fault["classes"] = draws.pick(list(work_ms), 1)
+    scenario = plain(load("calm"))
+    scenario["seconds"] = float(seconds)
+    scenario["fault"] = [fault] if fault else []
+    scenario["proxies"] = {"count": round(between(3, 5))}
+    scenario["servers"][0] |= {"count": servers, "speed": speed, "queue": 60}
+    scenario["office"] = [
+        {"rate": between(*load_of) * servers * 4 * speed * 1000 / mean_ms, "unequal": 1.8, "retries": 2,
+         "backoff_ms": 100.0 if draws.uniform() < 0.5 else 0.0, "try_share": between(0.53, 0.63)}
+    ]  # fmt: skip
+    for each in scenario["class"]:
+        each["work_ms"] = work_ms[each["name"]]
+        each["share"] = share if each["name"] == "extract-issue" else 1 - share
+    return build(scenario, kind)
+
+
+def order() -> None:
+    """Kinds of days by the worth that they cost, to be laid beside what the users' bench says of the same
+    kinds."""
+    rows = []
+    for kind in ("quiet", "pauses", "heavy_tail", "fast_errors", "overload"):
+        worths = [
+            end.result.figures.worth
+            for end in spread([Run(seed, plain(day_of(kind, seed)), seed) for seed in range(1, 17)], 8)
+            if end.result is not None
+        ]
+        mean, low, high = interval(worths)
+        rows.append([kind, f"{mean:.4f}", f"{low:.4f} to {high:.4f}", str(len(worths))])
+    rows.sort(key=lambda row: row[1])
+    print("\n".join(table(["kind of day", "worth in aim", "interval", "days"], rows)))
+
+
 def loops() -> None:
     """A million waits of a thousand parties."""
     parties, waits = 1000, 300
@@ -206,7 +270,14 @@
 
 
 def main() -> None:
-    words = {"cost": cost, "scale": scale, "load": ceiling, "reality": reality, "loops": loops}
+    words = {
+        "cost": cost,
+        "scale": scale,
+        "load": ceiling,
+        "reality": reality,
+        "order": order,
+        "loops": loops,
+    }
     for word in sys.argv[1:] or list(words):
         print(f"\n{word}")
         words[word]()
