--- a/cloverrouter/lab/office.py
+++ b/cloverrouter/lab/office.py
@@ -243,6 +243,9 @@
         left_early = got == "left" and ask.leaves_s < ask.patience_s
         if got == "served" or left_early or ask.attempt >= self._kind.retries:
             return
+        # Danger: what failed may have run; asked again under a new number, its effect would come twice.
+        if got not in ("refused", "unsent") and not self._kind.after_failures:
+            return
         wait_s = self._kind.backoff_ms / 1000 * self._moods.between(0.5, 1.5)
         if retry_after_s and self._moods.uniform() < self._kind.honour:
             wait_s = max(wait_s, retry_after_s)
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -83,7 +83,8 @@
     calm_s: SomeS = 9.0  # mean time between bursts
     curve: Curve = ()  # factors on the rate, straight lines between them
     times: Times = ()  # recorded arrivals
-    retries: Count = 0
+    retries: Count = 0  # after a refusal, which says that trying again is harmless
+    after_failures: Flag = False  # and after a failure, or a try given up, which may have run?
     backoff_ms: Ms = 100.0
     honour: Share = 0.0  # share of the clients that wait as long as Retry-After says
     try_share: Least = 1.0  # a try is given up after this share of the class's deadline
