Operators' calls, figures, hosts taken out by hand, and upgrades on an inherited socket

After SIGTERM a process that was succeeded takes nothing new and ends connections with answers. Ruled out: the listening socket (nothing was refused there) and idle connections closed at SIGTERM.

--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -20,6 +20,7 @@
 from cloverrouter.proxy.config import Config, HostList, StartError, read_address
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.observer import joined
 from cloverrouter.roster import Keeper
 from cloverrouter.roster.guard import condition
 from cloverrouter.roster.overlay import Drain
@@ -104,7 +105,7 @@
             return
         names = [cls.name for cls in settings.classes]
         book = self._book = Book(names, _now_ms, lambda text: self._event("module", {"text": text}))
-        self._node.observer = frontend.observer = book
+        self._node.observer = frontend.observer = joined(self._node.observer, book)
         sources = Sources(
             self._told.name,
             self._boot,
--- a/cloverrouter/control/book.py
+++ b/cloverrouter/control/book.py
@@ -95,7 +95,7 @@
     def taken(self, call: Call) -> None:
         self._class(call.class_name).taken += 1
 
-    def tried(self, tried: Tried, report: tuple[float, ...] | None) -> None:
+    def tried(self, call: Call, tried: Tried, report: tuple[float, ...] | None) -> None:
         server = self.servers.get(tried.server)
         if server is None:
             # Danger: a fleet that renames its servers with each release would grow this without end.
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -8,6 +8,8 @@
 import resource
 import signal
 import sys
+import tempfile
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from cloverrouter.interface import ListKind
@@ -16,6 +18,7 @@
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.observer import joined
 from cloverrouter.proxy.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -65,6 +68,16 @@
     node = Node(told.settings, told.seed, upstream, watch.start, crash)
     appliance = None if site is None else compose.Appliance(site, told, node)
     listed = node.listed if appliance is None else appliance.listed
+    management = None
+    if told.management is not None:
+        # Imported here: where the platform names no place for it, it costs nothing.
+        from cloverrouter.management import Management
+
+        folder = Path(os.environ.get("TMPDIR") or tempfile.gettempdir())
+        management = Management(told.clock, folder, lambda: frontend.classes, lambda: frontend.stopping)
+        management.attach(node, listed)
+        listed = management.listed
+        node.observer = joined(node.observer, management.figures)
     if told.known is not None:
         watch.version = told.known.version
         listed(ListKind.RESTORED, told.known)
@@ -75,7 +88,16 @@
     frontend = Frontend(node, classes, sockets // 2)
     if appliance is not None:
         await appliance.start(frontend)
-    await frontend.listen(told.listen)
+    try:
+        await frontend.listen(told.listen, told.inherited)
+    except OSError as error:
+        if told.inherited is None:
+            raise
+        text = f"PROXY_INHERITED_FD={told.inherited} is no listening socket: {error}"
+        raise config.StartError(text) from error
+    if management is not None and told.management is not None:
+        frontend.observer = joined(frontend.observer, management.figures)
+        await management.listen(told.management)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     log.info("%s serves at %s:%d", told.name, *told.listen)
@@ -84,8 +106,10 @@
     if appliance is not None:
         appliance.leave()
     if not crashes:
-        await drain(frontend, node)
+        await drain(frontend, node, told.inherited is not None)
     watch.stop()
+    if management is not None:
+        management.close()
     if appliance is not None:
         await appliance.close()
     if crashes:
@@ -94,10 +118,18 @@
     return 0
 
 
-async def drain(frontend: Frontend, node: Node) -> None:
-    """Leave without losing what was taken. Every call has a deadline, so this ends."""
+async def drain(frontend: Frontend, node: Node, succeeded: bool) -> None:
+    """Leave without losing what was taken. Every call has a deadline, so this ends.
+
+    `succeeded`: another process takes connections from the same listening socket.
+    """
     frontend.stopping = True
-    frontend.close_idle()
+    if succeeded:
+        # Danger: a request that crosses the end of its connection is turned back unheard. The other process
+        # takes all that is new; answers end the connections here, which nothing crosses.
+        frontend.stop_accepting()
+    else:
+        frontend.close_idle()
     await asyncio.sleep(STILL_ACCEPTING_S)
     frontend.close()
     loop = asyncio.get_running_loop()
@@ -131,7 +163,7 @@
     try:
         return asyncio.run(serve(told, site))
     except config.StartError as error:
-        log.critical("the operators' settings can't be carried out: %s", error)
+        log.critical("the settings can't be carried out: %s", error)
         return 2
 
 
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -190,6 +190,8 @@
     settings: Settings
     known: HostList | None
     clock: UnixClock
+    management: Address | None = None  # where operators call
+    inherited: int | None = None  # the descriptor of a listening socket that the platform holds
 
 
 def read_seed(value: Any) -> int:
@@ -212,6 +214,8 @@
     """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
     told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
     facts, clock = told["settings"], UnixClock()
+    management = environ.get("PROXY_MANAGEMENT") or told.get("management")
+    inherited = environ.get("PROXY_INHERITED_FD")
     sockets = int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS))
     return Config(
         name=environ.get("PROXY_NAME") or told["name"],
@@ -223,4 +227,12 @@
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_list(told["known"], clock) if told.get("known") else None,
         clock=clock,
+        management=read_address(management) if management else None,
+        inherited=_descriptor(inherited) if inherited else None,
     )
+
+
+def _descriptor(text: str) -> int:
+    if not text.isdecimal() or int(text) < 3:
+        raise ValueError(f"PROXY_INHERITED_FD is {text!r}; right is the number of a descriptor, from 3 on")
+    return int(text)
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -425,12 +425,19 @@
         self._adopting: set[asyncio.Task[object]] = set()
         self._listener: socket.socket | None = None
 
-    async def listen(self, address: Address) -> Address:
-        listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    async def listen(self, address: Address, inherited: int | None = None) -> Address:
+        """`inherited`: the descriptor of a socket that listens already, here and perhaps in another process.
+
+        Raises OSError if it is none.
+        """
+        if inherited is None:
+            listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(BACKLOG)
+        else:
+            listener = socket.socket(fileno=inherited)
         listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
         self._listener = listener
         self.loop.add_reader(listener, self._accept, listener)
         self.loop.call_later(SWEEP_S, self._sweep)
@@ -532,11 +539,14 @@
 
     def close(self) -> None:
         """Take no more connections, and close those on which nothing is owed."""
+        self.stop_accepting()
+        self.close_idle()
+
+    def stop_accepting(self) -> None:
         listener, self._listener = self._listener, None
         if listener is not None:
             self.loop.remove_reader(listener)
             listener.close()
-        self.close_idle()
 
     @property
     def busy(self) -> bool:
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from functools import lru_cache
 from typing import Protocol
@@ -246,6 +246,20 @@
     def busy(self) -> bool:
         return bool(self._by_call)
 
+    @property
+    def in_flight(self) -> int:
+        """Requests that an answer is owed to."""
+        return len(self._by_call)
+
+    def written_out(self) -> Counter[str]:
+        """Attempts that are out with their last byte written, by class."""
+        return Counter(
+            request.call.class_name
+            for request in self._requests.values()
+            for attempt in request.out.values()
+            if attempt.exchange is not None and attempt.exchange.written
+        )
+
     def is_open(self, request_id: bytes) -> bool:
         """Is an answer owed under this id, or an attempt still out?"""
         return request_id in self._ids
@@ -379,7 +393,7 @@
         if request.trail is None:
             request.trail = []
         request.trail.append(tried)
-        self.observer.tried(tried, report)
+        self.observer.tried(request.call, tried, report)
 
     # Discovery
 
--- a/cloverrouter/proxy/observer.py
+++ b/cloverrouter/proxy/observer.py
@@ -36,8 +36,8 @@
     def taken(self, call: Call) -> None:
         """A request came whole and goes to the module."""
 
-    def tried(self, tried: Tried, report: tuple[float, ...] | None) -> None:
-        """An attempt ended; `report` is the server's load report, in the settings' order of fields."""
+    def tried(self, call: Call, tried: Tried, report: tuple[float, ...] | None) -> None:
+        """An attempt for `call` ended; `report` is the server's load report, in the settings' order."""
 
     def ended(
         self, call: Call, final: Final, why: Why | None, trail: Sequence[Tried], took_ms: float
@@ -52,3 +52,41 @@
 
     def said(self, text: str) -> None:
         """The module said something for the log."""
+
+
+class Both:
+    """Two observers where the seam has room for one."""
+
+    def __init__(self, one: Observer, other: Observer) -> None:
+        self._observers = one, other
+
+    def taken(self, call: Call) -> None:
+        for observer in self._observers:
+            observer.taken(call)
+
+    def tried(self, call: Call, tried: Tried, report: tuple[float, ...] | None) -> None:
+        for observer in self._observers:
+            observer.tried(call, tried, report)
+
+    def ended(
+        self, call: Call, final: Final, why: Why | None, trail: Sequence[Tried], took_ms: float
+    ) -> None:
+        for observer in self._observers:
+            observer.ended(call, final, why, trail, took_ms)
+
+    def turned_away(self, status: int) -> None:
+        for observer in self._observers:
+            observer.turned_away(status)
+
+    def not_taken(self, call: Call, why: str) -> None:
+        for observer in self._observers:
+            observer.not_taken(call, why)
+
+    def said(self, text: str) -> None:
+        for observer in self._observers:
+            observer.said(text)
+
+
+def joined(there: Observer | None, new: Observer) -> Observer:
+    """`new` beside the observer that is set already, if one is."""
+    return new if there is None else Both(there, new)
--- a/cloverrouter/roster/overlay.py
+++ b/cloverrouter/roster/overlay.py
@@ -73,10 +73,14 @@
                 self.told.pop(entry.listed.name, None)
             else:
                 self.told[entry.listed.name] = entry
-        if not self.drains:
+        if self._plain():
             return found
         return replace(found, entries=tuple(self._overlaid(entry) for entry in found.entries))
 
+    def _plain(self) -> bool:
+        """Is the list told as it came?"""
+        return not self.drains
+
     def _overlaid(self, entry: HostEntry) -> HostEntry:
         # A drain never makes more of a server than discovery does: only what is ready is changed.
         if entry.listed.name not in self.drains or entry.listed.state is not EndpointState.READY:
@@ -102,8 +106,8 @@
         old = self.drains.get(drain.server)
         if old is None and drain.server not in self.told:
             raise UnknownServer(drain.server)
-        if old is None and len(self.drains) >= MOST_DRAINS:
-            raise TooManyDrains
+        if old is None:
+            self._check_room()
         before = self.state(drain.server)
         if old is not None:
             # Idempotent: who drained it first, and when, stays true.
@@ -111,6 +115,10 @@
         self.drains[drain.server] = drain
         return Change(drain.server, before, self.state(drain.server), drain, self._tell(drain.server, before))
 
+    def _check_room(self) -> None:
+        if len(self.drains) >= MOST_DRAINS:
+            raise TooManyDrains
+
     def restore(self, server: str) -> Change:
         """Undo a drain. Raises `UnknownServer` for an id that neither discovery nor a drain names."""
         if server not in self.told and server not in self.drains:
--- a/tests/control/test_book.py
+++ b/tests/control/test_book.py
@@ -21,6 +21,9 @@
     def failed(self) -> None: ...
 
 
+CALL = Asked()
+
+
 class Clock:
     ms = 0.0
 
@@ -49,7 +52,7 @@
     for _ in range(20):
         for _ in range(10):
             book.taken(Asked())
-            book.tried(Tried("s", Outcome.OK, 5.0), None)
+            book.tried(CALL, Tried("s", Outcome.OK, 5.0), None)
             book.ended(Asked(), Final.SERVED, None, (), 5.0)
         clock.ms += 1000
         book.tick(["s"])
@@ -65,16 +68,16 @@
 def test_what_is_not_the_servers_doing_is_no_failure_of_its() -> None:
     book, _ = new()
     for outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
-        book.tried(Tried("s", outcome, 1.0), None)
+        book.tried(CALL, Tried("s", outcome, 1.0), None)
     assert book.servers["s"].failed == 0
-    book.tried(Tried("s", Outcome.TIMEOUT, 1.0), None)
+    book.tried(CALL, Tried("s", Outcome.TIMEOUT, 1.0), None)
     assert book.servers["s"].failed == 1
 
 
 def test_nothing_grows_without_bound() -> None:
     book, clock = new()
     for i in range(3 * books.MOST_SERVERS):
-        book.tried(Tried(f"s{i}", Outcome.OK, 1.0), (1.0,))
+        book.tried(CALL, Tried(f"s{i}", Outcome.OK, 1.0), (1.0,))
         book.taken(Asked(f"c{i}"))
         book.ended(Asked(f"c{i}"), Final.FAILED, None, (), 1.0)
         book.ended(Asked(f"c{i}"), Final.REFUSED, None, (), 1.0)
