SIGHUP takes whole settings or none: classes, effects and attempts change in service

Settings were fixed at the start; a broken file moved discovery to a dead address. Now a file is read and checked whole, against what the file in force has, before anything of it holds; module, node and front then change in one step. Open requests keep their class and attempts; calls formed by the former classes are taken for 1.5 s, as clients hear of a change later than we do.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -13,7 +13,7 @@
 
 from bisect import bisect, insort
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import accumulate
 from math import ceil
 from random import Random
@@ -43,6 +43,7 @@
     Send,
     SetTimer,
     Settings,
+    SettingsChanged,
     StreamStarted,
     Subscribe,
     TimerFired,
@@ -146,6 +147,13 @@
         self.seen = 0
         self._window: list[float] = []
 
+    def renewed(self, cls: RequestClass) -> ClassLatency:
+        """The same class under new settings: what was learned of its requests still holds."""
+        new = ClassLatency(cls)
+        new.mean_ms, new.base_ms, new.seen = self.mean_ms, self.base_ms, self.seen
+        new.slow_ratio = self.slow_ratio
+        return new if self.seen else ClassLatency(cls)
+
     def add(self, latency_ms: float) -> None:
         self.seen += 1
         self.mean_ms += max(1 / self.seen, GAIN / 10) * (latency_ms - self.mean_ms)
@@ -378,12 +386,12 @@
     """How much work this proxy sends to an average warm server, smoothed over `span_ms`."""
 
     def __init__(self, span_ms: float) -> None:
-        self._span_ms = span_ms
+        self.span_ms = span_ms
         self._sum = 0.0
         self._at_ms = 0.0
 
     def _decay(self, now_ms: float) -> None:
-        self._sum *= max(0.0, 1 - (now_ms - self._at_ms) / self._span_ms)
+        self._sum *= max(0.0, 1 - (now_ms - self._at_ms) / self.span_ms)
         self._at_ms = now_ms
 
     def add(self, now_ms: float, work_per_server: float) -> None:
@@ -392,7 +400,7 @@
 
     def per_ms(self, now_ms: float) -> float:
         self._decay(now_ms)
-        return self._sum / self._span_ms
+        return self._sum / self.span_ms
 
 
 class Flow:
@@ -447,7 +455,7 @@
 
     def __init__(self, random: Random, safety: Safety) -> None:
         self._random = random
-        self._safety = safety
+        self.safety = safety
 
     def pick(self, now_ms: float, candidates: Sequence[Endpoint]) -> Endpoint | None:
         """The better of two different servers drawn by their shares; the only one, if there is just one."""
@@ -465,7 +473,7 @@
         return left[min(bisect(upto, self._random.random() * upto[-1]), len(left) - 1)]
 
     def score(self, now_ms: float, endpoint: Endpoint) -> float:
-        return endpoint.payoff * endpoint.warmth(now_ms, self._safety) / (1 + endpoint.in_flight)
+        return endpoint.payoff * endpoint.warmth(now_ms, self.safety) / (1 + endpoint.in_flight)
 
 
 @dataclass(slots=True, eq=False)
@@ -486,6 +494,8 @@
     deadline_ms: float
     work: float  # expected, in any unit that is the same for all requests
     value: float  # worth per expected work
+    usual: ClassLatency | None
+    most_attempts: int
     attempts: list[Attempt] = field(default_factory=list)
     out: int = 0  # attempts still out
     prev_wait_ms: float = BACKOFF_BASE_MS
@@ -528,6 +538,7 @@
         self.membership = Membership(settings)
         self.picker = Picker(self.random, settings.safety)
         self.latencies = {cls.name: ClassLatency(cls) for cls in settings.classes}
+        self.former: dict[str, ClassLatency] = {}  # as they were before the last change of settings
         self.requests: dict[int, Request] = {}
         self.held: list[tuple[float, int, Request]] = []  # the most valuable first, the newest of equals
         self.held_count = 0
@@ -575,6 +586,8 @@
                         self._finish(self.requests[event.request_id])
                 case StreamStarted():
                     self._on_stream(event)
+                case SettingsChanged():
+                    self._on_settings(event.settings)
                 case ProbeEnded():
                     pass
                 case _:
@@ -615,12 +628,35 @@
     def _subscribe(self) -> None:
         self.actions.append(Subscribe())
 
+    def _on_settings(self, new: Settings) -> None:
+        old = self.settings
+        self.settings = self.membership.settings = settings = replace(
+            new,
+            zone=old.zone,
+            proxies=old.proxies,
+            number=old.number,
+            subscribe=old.subscribe,
+            report_fields=old.report_fields,
+        )
+        if settings.classes != old.classes:
+            known = self.former = self.latencies
+            self.latencies = {
+                cls.name: known[cls.name].renewed(cls) if cls.name in known else ClassLatency(cls)
+                for cls in settings.classes
+            }
+        self.picker.safety = settings.safety
+        self.work_rate.span_ms = RATE_WINDOWS * settings.safety.push_window_ms
+        self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
+        self.arrivals.span_ms = WINDOW_SPANS * self.longest_deadline_ms
+        while self._too_many() and self._let_go():
+            pass
+
     # Requests
 
     def _on_request(self, event: RequestArrived) -> None:
         if event.request_id in self.requests:
             raise ValueError(f"request {event.request_id} arrived twice")
-        usual = self.latencies.get(event.class_name)
+        usual = (self.former if event.former else self.latencies).get(event.class_name)
         cls = usual.cls if usual else None
         work = event.work_hint_ms or (usual.mean_ms if usual else DEFAULT_DEADLINE_MS / 4)
         worth = cls.worth if cls else 0.0
@@ -629,7 +665,8 @@
         if deadline_ms is None:
             deadline_ms = self.now_ms + (cls.deadline_ms if cls else DEFAULT_DEADLINE_MS)
         self.arrivals.add(self.now_ms, 1.0)
-        request = Request(event.request_id, cls, self.now_ms, deadline_ms, work, value)
+        most = self.settings.limits.max_attempts
+        request = Request(event.request_id, cls, self.now_ms, deadline_ms, work, value, usual, most)
         request.repeat = event.repeat
         self.requests[request.id] = request
         self._dispatch(request)
@@ -676,7 +713,7 @@
     def _hold(self, request: Request) -> None:
         """Danger: sent to full servers, work queues there until it is late, and jams them. It waits
         here instead, the most valuable first, until it could no longer be served in time."""
-        usual_ms = self.latencies[request.cls.name].mean_ms if request.cls else DEFAULT_DEADLINE_MS / 4
+        usual_ms = request.usual.mean_ms if request.usual else DEFAULT_DEADLINE_MS / 4
         wait_ms = self._useless_ms(request) - usual_ms - self.now_ms
         if wait_ms <= 0:
             self._give_up(request, self._no_room())
@@ -689,17 +726,21 @@
         self.held_count += 1
         insort(self.held, (-request.value, -self.held_count, request))
         request.timer = self._set_timer(wait_ms, lambda: self._wake(request, self._give_up_held))
-        most = self.settings.limits.max_open
-        if most and len(self.requests) > FULL_SHARE * most:
+        if self._too_many():
             self._let_go()
 
-    def _let_go(self) -> None:
-        """Danger: each held request takes up a connection of its client's. With none left, whatever comes
-        next is lost unseen. What has waited longest is the least likely to be served in time still."""
+    def _too_many(self) -> bool:
+        most = self.settings.limits.max_open
+        return most > 0 and len(self.requests) > FULL_SHARE * most
+
+    def _let_go(self) -> bool:
+        """False if none is held. Danger: each held request takes up a connection of its client's. With none
+        left, whatever comes next is lost unseen. What has waited longest is the least likely to be served."""
         waiting = [entry for entry in self.held if not entry[2].done and entry[2].timer is not None]
         if waiting:
             oldest = min(waiting, key=lambda entry: (entry[2].arrived_ms, entry[2].id))[2]
             self._give_up(oldest, Why.CROWDED)
+        return bool(waiting)
 
     def _send_held(self) -> None:
         """Walk the queue once; a walk costs little even when it is long and few servers have room."""
@@ -744,7 +785,7 @@
     def _may_send(self, request: Request, endpoint: Endpoint) -> bool:
         """The guard every send passes: may this request be sent to this endpoint now?"""
         limits = self.settings.limits
-        if request.done or request.streaming or len(request.attempts) >= limits.max_attempts:
+        if request.done or request.streaming or len(request.attempts) >= request.most_attempts:
             return False
         if request.out and not limits.parallel_attempts:
             return False
@@ -849,10 +890,10 @@
         outcome, cls = attempt.outcome, request.cls
         if outcome is Outcome.OK:
             self.budget.earn()
-        if outcome in NO_EVIDENCE or cls is None:
+        usual = request.usual
+        if outcome in NO_EVIDENCE or cls is None or usual is None:
             self.flow.ended(self.now_ms, latency_ms, None)
             return
-        usual = self.latencies[cls.name]
         good_ms = usual.in_good_time_ms()
         slow = latency_ms / good_ms
         self.flow.ended(self.now_ms, usual.base_ms, slow if outcome in (*WORKED, Outcome.TIMEOUT) else None)
@@ -884,7 +925,7 @@
             self._drop_timer(request)
 
     def _retry(self, request: Request) -> None:
-        if len(request.attempts) >= self.settings.limits.max_attempts:
+        if len(request.attempts) >= request.most_attempts:
             self._give_up(request, Why.ATTEMPTS)
         elif not request.repeatable():
             self._give_up(request, Why.MAY_HAVE_RUN if request.first_possible_run() else Why.ONE_ATTEMPT)
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -185,6 +185,17 @@
     key: str | None = None
     work_hint_ms: float | None = None
     repeat: bool = False  # marked by its client as a repeat
+    former: bool = False  # its class is meant as it was before the last `SettingsChanged`
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """These settings hold for requests that come from here on; those that are open keep their class.
+
+    What places the proxy among others stays as at the start: zone, proxies, number, subscribe, report fields.
+    """
+
+    settings: Settings
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,7 +238,14 @@
 
 
 Event = (
-    EndpointsListed | RequestArrived | StreamStarted | AttemptEnded | RequestGone | TimerFired | ProbeEnded
+    EndpointsListed
+    | RequestArrived
+    | StreamStarted
+    | AttemptEnded
+    | RequestGone
+    | TimerFired
+    | ProbeEnded
+    | SettingsChanged
 )
 
 
--- a/cloverrouter/management/bans.py
+++ b/cloverrouter/management/bans.py
@@ -2,8 +2,8 @@
 
 Rules only. An `Overlay` of drains does the laying over; here is what differs from an operator's drain on
 the console: an id that was listed once may be taken out while it is absent, there is no guard on the last
-host, and a host given back is taken to be cold. A ban is a `Drain` without an end; one with an end was given back then.
-Times are Unix milliseconds, as two processes share them.
+host, and a host given back is taken to be cold. A ban is a `Drain` without an end; one with an end was given
+back then. Times are Unix milliseconds, as two processes share them.
 """
 
 from __future__ import annotations
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -54,13 +54,25 @@
 
     def reload() -> None:
         """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
+        nonlocal told
         try:
-            address = config.reload_discovery(os.environ)
+            new = config.reload(os.environ, told)
         except Exception as error:
             log.error("configuration not reread: %s: %s", type(error).__name__, error)
+            if management is not None:
+                management.figures.reloads_failed += 1
             return
-        log.info("discovery is at %s:%d from now on", *address)
-        watch.move(address)
+        old, told = told, new
+        if new.settings != old.settings:
+            # One step: a class that the front lets in, the module knows.
+            frontend.reclass({cls.name: cls.idempotency for cls in new.settings.classes})
+            node.resettle(new.settings)
+            log.info("settings: classes %s from now on", ", ".join(frontend.classes))
+        if new.discovery != old.discovery:
+            log.info("discovery is at %s:%d from now on", *new.discovery)
+            watch.move(new.discovery)
+        if management is not None:
+            management.figures.reloads_ok += 1
 
     upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
     pushed = not told.settings.subscribe
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -9,7 +9,7 @@
 import time
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from ipaddress import ip_address
 from math import isfinite
 from pathlib import Path
@@ -52,9 +52,9 @@
 
 def read_class(facts: Json) -> RequestClass:
     return RequestClass(
-        name=facts["name"],
-        aim_ms=facts["aim_ms"],
-        deadline_ms=facts["deadline_ms"],
+        name=_text(facts["name"]),
+        aim_ms=_number(float, facts["aim_ms"]),
+        deadline_ms=_number(float, facts["deadline_ms"]),
         worth=facts.get("worth", 1.0),
         late_worth=facts.get("late_worth", 0.0),
         aim_stretch=facts.get("aim_stretch", 0.0),
@@ -77,7 +77,7 @@
         report_fields=tuple(facts.get("reporting", {}).get("fields", ())),
         worth_by_work=facts.get("counted_by") == "work",
         limits=Limits(
-            max_attempts=bounds["max_attempts"],
+            max_attempts=_whole(bounds["max_attempts"]),
             parallel_attempts=bounds.get("parallel_tries", False),
             cancel=bounds.get("cancel", False),
             probes=bounds.get("probes", False),
@@ -176,6 +176,12 @@
     return kind(value)
 
 
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"not a whole number: {value!r}")
+    return value
+
+
 # The whole
 
 
@@ -190,6 +196,7 @@
     settings: Settings
     known: HostList | None
     clock: UnixClock
+    told: Json  # the file, but for the list of hosts
     management: Address | None = None  # where operators call
     inherited: int | None = None  # the descriptor of a listening socket that the platform holds
 
@@ -201,13 +208,47 @@
         return zlib.crc32(str(value).encode())
 
 
-def reload_discovery(environ: Mapping[str, str]) -> Address:
-    """The address of discovery as the file has it now.
+def missing(now: Any, before: Any, path: str = "") -> str | None:
+    """The path of the first key that `before` has and `now` lacks.
 
-    The environment is as old as the process: its copy of the address would undo the change. Raises
-    KeyError, ValueError, TypeError or OSError for a file that can't be used.
+    Entries of a list are compared with what all of the former entries have: there may be others now.
     """
-    return read_address(json.loads(Path(environ["PROXY_CONFIG"]).read_text())["discovery"])
+    if isinstance(before, dict):
+        if not isinstance(now, dict):
+            return path
+        for key, value in before.items():
+            where = f"{path}.{key}" if path else key
+            if key not in now:
+                return where
+            if (lost := missing(now[key], value, where)) is not None:
+                return lost
+    elif isinstance(before, list) and before and all(isinstance(entry, dict) for entry in before):
+        if not isinstance(now, list):
+            return path
+        shared = {key: None for key in before[0] if all(key in entry for entry in before)}
+        for i, entry in enumerate(now):
+            if (lost := missing(entry, shared, f"{path}[{i}]")) is not None:
+                return lost
+    return None
+
+
+def reload(environ: Mapping[str, str], former: Config) -> Config:
+    """What the file says now, where that can change in service: discovery's address and the settings.
+
+    The environment is as old as the process: its copy of discovery's address would undo the change. Raises
+    KeyError, ValueError, TypeError, AttributeError or OSError for a file that can't be used: nothing of
+    it holds then.
+    """
+    told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    # Danger: a file that was cut, or lost a key, would put defaults in place of what an operator had set.
+    lost = missing({**told, "known": None}, former.told)
+    if lost is not None:
+        raise ValueError(f"{lost} is missing, and the file in force has it")
+    settings = read_settings(told["settings"], int(former.sockets * CLIENTS_SHARE))
+    if not settings.classes:
+        raise ValueError("settings.categories is empty; right is at least one class")
+    told["known"] = None
+    return replace(former, discovery=read_address(told["discovery"]), settings=settings, told=told)
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -218,6 +259,7 @@
     inherited = environ.get("PROXY_INHERITED_FD")
     sockets = int(told.get("limits", {}).get("sockets", DEFAULT_SOCKETS))
     return Config(
+        told={**told, "known": None},
         name=environ.get("PROXY_NAME") or told["name"],
         listen=read_address(environ.get("PROXY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -42,6 +42,7 @@
 SWEEP_S = 0.2
 MOST_IDLE_PART = 6  # so small a part of the connections may be idle; past it answers end theirs
 LONGEST_MS = 3_600_000
+FORMER_S = 1.5  # clients may go on by the former classes for 1.2 s after a change, and some be on their way
 METHODS = {Idempotency.SAFE: b"GET", Idempotency.KEYED: b"POST", Idempotency.UNSAFE: b"POST"}
 TOKEN = re.compile(rb"[!-~]{1,200}")
 # Doubled, these leave open which of them counts, here and at the host.
@@ -92,7 +93,7 @@
 
 
 class ClientCall(Call):
-    __slots__ = ("_client", "keep_alive")
+    __slots__ = ("_client", "classes", "former", "keep_alive")
 
     def __init__(
         self, client: ClientConnection, method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes
@@ -100,6 +101,8 @@
         self._client = client
         self.arrived_ms = time.monotonic() * 1000
         self.keep_alive = True
+        self.former = False
+        self.classes: Mapping[str, Idempotency] = {}  # by which it was found valid
         self.method, self.target, self.body = method, target, body
         self.request_id = headers.get(b"x-request-id", b"")
         self.idempotency_key = headers.get(b"idempotency-key", b"")
@@ -282,7 +285,7 @@
         call.keep_alive = self._parser.should_keep_alive()
         self._reset()
         if call.target != b"/healthz":
-            self._error = fault_of(call, headers, self._frontend.classes)
+            self._error = self._frontend.check(call, headers)
             # Danger: sent on, it would be a second copy of a request that may be under way. The calls that
             # wait count, too: each would be handed over in its turn.
             if not self._error and self._frontend.knows(call.request_id):
@@ -307,6 +310,8 @@
             self._asked = True
             if call.target == b"/healthz":
                 self.answer(call, 200 if self._frontend.handler.ready() else 503, b"", b"")
+            elif not self._frontend.still_valid(call):
+                call.refused(0.0)
             else:
                 self._frontend.handler.arrived(call)
 
@@ -413,6 +418,8 @@
         self.loop = asyncio.get_running_loop()
         self.handler = handler
         self.classes = classes
+        self.former: Mapping[str, Idempotency] = {}  # before the last change
+        self._former_until_s = 0.0
         self.stopping = False
         self.refusing = False  # nothing is taken for now: answers end their connection, clients are to move
         self.observer: Observer | None = None
@@ -509,6 +516,26 @@
         """Do clients hold nine tenths of the descriptors that they may?"""
         return len(self._connections) * 10 >= self._most_open * 9
 
+    def reclass(self, classes: Mapping[str, Idempotency]) -> None:
+        """These classes hold from now on. Clients hear of them a little later than we do."""
+        if classes != self.classes:
+            self.former, self.classes = self.classes, classes
+            self._former_until_s = self.loop.time() + FORMER_S
+
+    def check(self, call: ClientCall, headers: dict[bytes, bytes]) -> int:
+        """`fault_of` by the classes in force, or, for a while, by those before."""
+        call.classes = self.classes
+        fault = fault_of(call, headers, self.classes)
+        if fault and self.loop.time() < self._former_until_s and not fault_of(call, headers, self.former):
+            call.classes, fault = self.former, 0
+        return fault
+
+    def still_valid(self, call: ClientCall) -> bool:
+        """Danger: a call that waited behind another was checked by classes that may have changed twice since;
+        with another effect it could be repeated with no key."""
+        call.former = call.classes is not self.classes
+        return not call.former or call.classes is self.former
+
     def knows(self, request_id: bytes) -> bool:
         return request_id in self.waiting_ids or self.handler.is_open(request_id)
 
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -64,6 +64,7 @@
     timeout_ms: float | None  # how long the client waits; None: it did not say
     cost_ms: float | None
     repeat: bool
+    former = False  # found valid by the classes as they were before the last change
 
     @abstractmethod
     def served(self, answer: Answer) -> None: ...
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -9,6 +9,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 from functools import lru_cache
 from typing import Protocol
 
@@ -34,6 +35,7 @@
     Send,
     SetTimer,
     Settings,
+    SettingsChanged,
     Subscribe,
     TimerFired,
     Why,
@@ -68,6 +70,10 @@
     return report if all(0 <= value <= MOST_REPORTED for value in report) else None
 
 
+def longest_ms(settings: Settings) -> float:
+    return max((cls.deadline_ms for cls in settings.classes), default=60_000.0)
+
+
 class LagMeter:
     """How late the event loop comes to things: the longest of late, fading."""
 
@@ -149,6 +155,7 @@
         taken never to be late."""
         self._loop: Loop = asyncio.get_running_loop() if loop is None else loop
         self._settings = settings
+        self._longest_ms = longest_ms(settings)
         self._balancer = Balancer(settings, seed)
         self._upstream = upstream
         self._subscribe = subscribe
@@ -237,6 +244,13 @@
 
         self._loop.call_later(max(0.0, action.delay_ms) / 1000, fire)
 
+    def resettle(self, settings: Settings) -> None:
+        """These settings hold from now on, for requests that come."""
+        self._settings = replace(settings, report_fields=self._settings.report_fields)
+        # Requests that are open keep their class, and with it the longest time they may take.
+        self._longest_ms = max(self._longest_ms, longest_ms(settings))
+        self.tell(SettingsChanged(settings))
+
     # Calls
 
     def ready(self) -> bool:
@@ -291,6 +305,7 @@
                 key=call.key,
                 work_hint_ms=call.cost_ms,
                 repeat=call.repeat,
+                former=call.former,
             )
         )
 
@@ -341,7 +356,7 @@
         if request.answered or address is None or timeout_ms <= 0:
             self.tell(AttemptEnded(request.id, number, Outcome.NOT_SENT, 0.0, request.answered))
             return
-        timeout_ms = min(timeout_ms, self._longest_ms())
+        timeout_ms = min(timeout_ms, self._longest_ms)
         host = action.endpoint, address
         attempt = request.out[number] = Try(request, number, host, self._now_ms)
         attempt.timer = self._loop.call_later(timeout_ms / 1000, self._timed_out, attempt)
@@ -351,8 +366,6 @@
         if action.begin_within_ms < timeout_ms and not attempt.exchange.written:
             self._loop.call_later(action.begin_within_ms / 1000, self._begin_now_or_never, attempt)
 
-    def _longest_ms(self) -> float:
-        return max((cls.deadline_ms for cls in self._settings.classes), default=60_000.0)
 
     def _timed_out(self, attempt: Try) -> None:
         self._give_up(attempt, Outcome.TIMEOUT)
