Two processes of an upgrade share one proxy's limits; the second loads in parts

In an overload the connections that clients may have were all in use while a starting process took the core for 0.2 s: up to 206 requests found none. Processes now count one another by locks in the shared folder, halve what they hold, and a second one announces itself before it loads, in parts.

--- a/cloverrouter/__init__.py
+++ b/cloverrouter/__init__.py
@@ -1,6 +1,18 @@
 """Decisions of a client-side load balancer, as a library without I/O."""
 
-from cloverrouter.decide import Balancer
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from cloverrouter.decide import Balancer
 
 __all__ = ["Balancer"]
 __version__ = "0.2.0"
+
+
+def __getattr__(name: str) -> Any:
+    """`Balancer`, once it is asked for (PEP 562): a proxy's first steps come before what takes long to load."""
+    if name == "Balancer":
+        from cloverrouter.decide import Balancer
+
+        return Balancer
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/cloverrouter/cli.py
+++ b/cloverrouter/cli.py
@@ -141,7 +141,7 @@
         case "check":
             return check(told.file)
         case "run":
-            from cloverrouter.proxy.__main__ import main as run
+            from cloverrouter.proxy.service import main as run
 
             return run(told.site)
         case "witness":
--- a/cloverrouter/lab/process.py
+++ b/cloverrouter/lab/process.py
@@ -44,7 +44,7 @@
         if constants:
             changed = (f"decide.{name} = type(decide.{name})({to!r})" for name, to in constants.items())
             lines = ["import sys", "from cloverrouter import decide", *changed]
-            lines += ["from cloverrouter.proxy.__main__ import main", "sys.exit(main())"]
+            lines += ["from cloverrouter.proxy.service import main", "sys.exit(main())"]
             self._command = [sys.executable, "-c", "\n".join(lines)]
         self._lives: list[subprocess.Popen[bytes]] = []
         self._cpu_s: list[float] = []
--- a/cloverrouter/management/figures.py
+++ b/cloverrouter/management/figures.py
@@ -62,8 +62,7 @@
                 lines.append(f"{place}.{final.value}:{self.finals[name, final]}|c")
             lines.append(f"{place}.attempts:{self.attempts[name] + out.get(name, 0)}|c")
         listed = [e for e in view.endpoints if e.state is not EndpointState.GONE]
-        # A host that rests between two answers, or is just full, is in use.
-        avoided = [e for e in listed if e.state is not EndpointState.READY or e.silent or _paused(e)]
+        avoided = [e for e in listed if e.state is not EndpointState.READY or _left_out(e)]
         lines += [
             f"{PREFIX}.in_flight:{in_flight}|g",
             f"{PREFIX}.hosts_known:{len(listed)}|g",
@@ -74,5 +73,6 @@
         return "".join(f"{line}\n" for line in lines).encode()
 
 
-def _paused(endpoint: EndpointView) -> bool:
-    return endpoint.paused_ms > 0 and endpoint.failures > 0
+def _left_out(endpoint: EndpointView) -> bool:
+    """One that rests between two answers, is just full, or had one mishap, is in use."""
+    return endpoint.paused_ms > 0 and endpoint.failures >= 2
--- a/cloverrouter/management/shell.py
+++ b/cloverrouter/management/shell.py
@@ -100,7 +100,7 @@
         classes: Callable[[], Iterable[str]],
         stopping: Callable[[], bool],
     ) -> None:
-        self._clock, self._classes, self._stopping = clock, classes, stopping
+        self._classes, self._stopping = classes, stopping
         self._bans = Bans(clock)
         self.figures = Figures()
         self._node: Node | None = None
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -1,182 +1,33 @@
-"""Starts one client proxy: configuration, wiring, signals, exit code."""
+"""Starts one client proxy. What takes long to load comes after what another process must hear at once."""
 
 from __future__ import annotations
 
-import asyncio
-import logging
 import os
-import resource
-import signal
 import sys
-import tempfile
-from pathlib import Path
-from typing import TYPE_CHECKING
-
-from cloverrouter.interface import ListKind
-from cloverrouter.proxy import config
-from cloverrouter.proxy.config import Config, HostList
-from cloverrouter.proxy.discovery import Watch
-from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.observer import joined
-from cloverrouter.proxy.upstream import Upstream
-
-if TYPE_CHECKING:
-    from cloverrouter.site import Site
-
-# After SIGTERM connections go on coming for a while: until then they are taken and served.
-STILL_ACCEPTING_S = 0.5
-RESERVED_SOCKETS = 24  # standard streams, the loop's own, the listener, discovery, and some air
-POLL_S = 0.02
-LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
-log = logging.getLogger("cloverrouter.proxy")
-
-
-async def serve(told: Config, site: Site | None = None) -> int:
-    """Run until SIGTERM, or until the module fails; the exit code. `site`: the operators' settings."""
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    crashes: list[BaseException] = []
-
-    def crash(error: BaseException) -> None:
-        crashes.append(error)
-        stop.set()
-
-    def on_list(found: HostList) -> None:
-        listed(ListKind.FULL if found.full else ListKind.DELTA, found)
-
-    sockets = min(told.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
-    if site is not None:
-        # What an installation has turned off it does not import: this is the only way to a direction.
-        from cloverrouter import compose
-
-        sockets -= compose.descriptors(site)
-
-    def reload() -> None:
-        """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
-        nonlocal told
-        try:
-            new = config.reload(os.environ, told)
-        except Exception as error:
-            log.error("configuration not reread: %s: %s", type(error).__name__, error)
-            if management is not None:
-                management.figures.reloads_failed += 1
-            return
-        old, told = told, new
-        if new.settings != old.settings:
-            # One step: a class that the front lets in, the module knows.
-            frontend.reclass({cls.name: cls.idempotency for cls in new.settings.classes})
-            node.resettle(new.settings)
-            log.info("settings: classes %s from now on", ", ".join(frontend.classes))
-        if new.discovery != old.discovery:
-            log.info("discovery is at %s:%d from now on", *new.discovery)
-            watch.move(new.discovery)
-        if management is not None:
-            management.figures.reloads_ok += 1
-
-    upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
-    pushed = not told.settings.subscribe
-    watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed())
-    node = Node(told.settings, told.seed, upstream, watch.start, crash)
-    appliance = None if site is None else compose.Appliance(site, told, node)
-    listed = node.listed if appliance is None else appliance.listed
-    management = None
-    if told.management is not None:
-        # Imported here: where the platform names no place for it, it costs nothing.
-        from cloverrouter.management import Management
-
-        folder = Path(os.environ.get("TMPDIR") or tempfile.gettempdir())
-        management = Management(told.clock, folder, lambda: frontend.classes, lambda: frontend.stopping)
-        management.attach(node, listed)
-        listed = management.listed
-        node.observer = joined(node.observer, management.figures)
-    if told.known is not None:
-        watch.version = told.known.version
-        listed(ListKind.RESTORED, told.known)
-    if pushed or told.known is None:
-        watch.start()
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    classes = {cls.name: cls.idempotency for cls in told.settings.classes}
-    frontend = Frontend(node, classes, sockets // 2)
-    if appliance is not None:
-        await appliance.start(frontend)
-    try:
-        await frontend.listen(told.listen, told.inherited)
-    except OSError as error:
-        if told.inherited is None:
-            raise
-        text = f"PROXY_INHERITED_FD={told.inherited} is no listening socket: {error}"
-        raise config.StartError(text) from error
-    if management is not None and told.management is not None:
-        frontend.observer = joined(frontend.observer, management.figures)
-        await management.listen(told.management)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    log.info("%s serves at %s:%d", told.name, *told.listen)
-
-    await stop.wait()
-    if appliance is not None:
-        appliance.leave()
-    if not crashes:
-        await drain(frontend, node, told.inherited is not None)
-    watch.stop()
-    if management is not None:
-        management.close()
-    if appliance is not None:
-        await appliance.close()
-    if crashes:
-        log.critical("the decisions crashed", exc_info=crashes[0])
-        return 1
-    return 0
-
-
-async def drain(frontend: Frontend, node: Node, succeeded: bool) -> None:
-    """Leave without losing what was taken. Every call has a deadline, so this ends.
-
-    `succeeded`: another process takes connections from the same listening socket.
-    """
-    frontend.stopping = True
-    if succeeded:
-        # Danger: a request that crosses the end of its connection is turned back unheard. The other process
-        # takes all that is new; answers end the connections here, which nothing crosses.
-        frontend.stop_accepting()
-    else:
-        frontend.close_idle()
-    await asyncio.sleep(STILL_ACCEPTING_S)
-    frontend.close()
-    loop = asyncio.get_running_loop()
-    owed_s = loop.time()
-    # Danger: a client that neither finishes its request nor reads would keep the program from ending.
-    while node.busy or (frontend.busy and loop.time() < owed_s + LAST_BYTES_S):
-        if node.busy:
-            owed_s = loop.time()
-        await asyncio.sleep(POLL_S)
-        frontend.close_idle()
-
-
-def main(site_path: str | None = None) -> int:
-    """`site_path`: the operators' file; without it `PROXY_SITE` names one, or there is none."""
-    logging.basicConfig(
-        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
-    )
-    # Danger: SIGHUP's default action ends the process; it may come before the loop takes it, or after.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    site = None
-    try:
-        told = config.load(os.environ)
-        site_path = site_path or os.environ.get("PROXY_SITE")
-        if site_path:
-            from cloverrouter import compose
-
-            site = compose.read_site(site_path)
-    except (KeyError, ValueError, OSError) as error:
-        log.critical("no usable configuration: %s: %s", type(error).__name__, error)
-        return 2
-    try:
-        return asyncio.run(serve(told, site))
-    except config.StartError as error:
-        log.critical("the settings can't be carried out: %s", error)
-        return 2
+import time
+
+from cloverrouter.proxy.presence import Presence
+
+# In an upgrade this process shares its core with one that serves. That one looks for company ten times a
+# second, and then leaves more connections free for what comes while it has to wait for the core.
+HEARD_S = 0.25
+# Loading is cut in parts, with rests between them that let the other process catch up.
+REST_S = 0.05
+PARTS = ("dataclasses", "logging", "asyncio", "cloverrouter.interface", "cloverrouter.decide", "httptools")
+
+
+def main() -> int:
+    presence = None
+    if os.environ.get("PROXY_INHERITED_FD"):
+        presence = Presence.found(os.environ.get("TMPDIR"))
+        if presence is not None and presence.count() > 1:
+            time.sleep(HEARD_S)
+            for part in PARTS:
+                __import__(part)
+                time.sleep(REST_S)
+    from cloverrouter.proxy.service import main as serve
+
+    return serve(presence=presence)
 
 
 if __name__ == "__main__":
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -366,7 +366,6 @@
         if action.begin_within_ms < timeout_ms and not attempt.exchange.written:
             self._loop.call_later(action.begin_within_ms / 1000, self._begin_now_or_never, attempt)
 
-
     def _timed_out(self, attempt: Try) -> None:
         self._give_up(attempt, Outcome.TIMEOUT)
 
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -309,6 +309,12 @@
         one for each way to end that it does not know of."""
         return len(self.connections) + len(self._opening)
 
+    def resize(self, most_open: int) -> None:
+        """Hold so many sockets at most from now on; idle ones make room, busy ones end with their answers."""
+        self._most_open = most_open
+        while self.open > most_open and self._make_room():
+            pass
+
     def keep_only(self, wanted: set[Host]) -> None:
         """Where requests may still go; all other pools end, busy connections with their answers."""
         for host in [h for h in self._pools if h not in wanted]:
