The second process of an upgrade loads in a thread of low priority

A thread's nice value is its own and ends with it. Discovery's silence about nothing new no longer holds the yes back for 3 s.

--- a/cloverrouter/management/shell.py
+++ b/cloverrouter/management/shell.py
@@ -28,8 +28,8 @@
 UNFINISHED_S = 2.5  # a caller that sends no whole call holds a descriptor no longer
 LOOK_S = 0.1
 BACKLOG = 128
-# A process just started says yes before discovery has answered it only after this long.
-UNHEARD_S = 3.0
+# Discovery answers at once where it has news of what a process knows from before its start.
+UNHEARD_S = 0.5
 log = logging.getLogger(__name__)
 
 
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+import threading
 import time
 
 from cloverrouter.proxy.presence import Presence
@@ -11,9 +12,24 @@
 # In an upgrade this process shares its core with one that serves. That one looks for company ten times a
 # second, and then leaves more connections free for what comes while it has to wait for the core.
 HEARD_S = 0.25
-# Loading is cut in parts, with rests between them that let the other process catch up.
-REST_S = 0.05
-PARTS = ("dataclasses", "logging", "asyncio", "cloverrouter.interface", "cloverrouter.decide", "httptools")
+# About a tenth of a core that another process uses up; all of what it leaves.
+NICE = 10
+
+
+def load_gently() -> None:
+    """Load the program with a low priority, which belongs to the thread that does it and ends with it.
+
+    Danger: loading takes a quarter of a second of the core, in which the process that serves answers nobody.
+    """
+
+    def load() -> None:
+        os.setpriority(os.PRIO_PROCESS, threading.get_native_id(), NICE)
+        import cloverrouter.management
+        import cloverrouter.proxy.service  # noqa: F401
+
+    loader = threading.Thread(target=load)
+    loader.start()
+    loader.join()
 
 
 def main() -> int:
@@ -22,9 +38,7 @@
         presence = Presence.found(os.environ.get("TMPDIR"))
         if presence is not None and presence.count() > 1:
             time.sleep(HEARD_S)
-            for part in PARTS:
-                __import__(part)
-                time.sleep(REST_S)
+            load_gently()
     from cloverrouter.proxy.service import main as serve
 
     return serve(presence=presence)
