A rate that has just begun is divided by the time it was seen, not by its whole span

Ruled out: limits (1 to 4, hosts with room stood idle), pauses, silence. In a release most hosts are cold, so nearly all was held, and clients had no connection left.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -63,6 +63,7 @@
 # the usual multiple of three just its warm share of what the others get. The rest is for machines
 # slower than their fleet's mean, and for bursts.
 COLD_MARGIN = 1 / 3
+RATE_SEEN_LEAST = 1 / 16  # of a rate's span: from then on what was seen counts for the rest
 RATE_WINDOWS = 4  # push windows over which what the others get is smoothed
 # A server's answers may be slower than unhurried ones by this part of the room that the slow among
 # those leave up to the aim, and by these factors at least and at most.
@@ -388,10 +389,15 @@
     def __init__(self, span_ms: float) -> None:
         self.span_ms = span_ms
         self._sum = 0.0
-        self._at_ms = 0.0
+        self._seen = 0.0  # the part of the span that has been looked at, as far as it still counts
+        self._at_ms: float | None = None
 
     def _decay(self, now_ms: float) -> None:
-        self._sum *= max(0.0, 1 - (now_ms - self._at_ms) / self.span_ms)
+        if self._at_ms is None:
+            self._at_ms = now_ms
+        kept = max(0.0, 1 - (now_ms - self._at_ms) / self.span_ms)
+        self._sum *= kept
+        self._seen = 1 - kept * (1 - self._seen)
         self._at_ms = now_ms
 
     def add(self, now_ms: float, work_per_server: float) -> None:
@@ -400,7 +406,9 @@
 
     def per_ms(self, now_ms: float) -> float:
         self._decay(now_ms)
-        return self._sum / self.span_ms
+        # Danger: a proxy that has just started would take what it has sent for a whole span's, and cold
+        # servers would get next to nothing for as long. A few requests are no rate yet.
+        return self._sum / (self.span_ms * max(self._seen, RATE_SEEN_LEAST))
 
 
 class Flow:
--- a/cloverrouter/management/figures.py
+++ b/cloverrouter/management/figures.py
@@ -14,6 +14,7 @@
 from cloverrouter.proxy.observer import Final, Tried
 
 PREFIX = "edge_proxy"
+LEFT_OUT_MS = 500.0  # still to be waited for
 UNWRITTEN = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # its last byte never went out
 
 
@@ -74,5 +75,5 @@
 
 
 def _left_out(endpoint: EndpointView) -> bool:
-    """One that rests between two answers, is just full, or had one mishap, is in use."""
-    return endpoint.paused_ms > 0 and endpoint.failures >= 2
+    """One that rests between two answers, is just full, or had a mishap or two, is in use."""
+    return endpoint.paused_ms >= LEFT_OUT_MS and endpoint.failures >= 2
