--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -36,6 +36,7 @@
 BACKLOG = 1024
 ACCEPTED_AT_ONCE = 16  # then those that are open have their turn
 READ_BYTES = 64 * 1024
+PASSING_BYTES = 32 * 1024  # of a long answer may wait for its client before the host is to wait, too
 # Calls that wait behind an open one on the same connection, and their bytes; a client that sends more
 # is not one of ours.
 MOST_WAITING = 16
@@ -464,6 +465,7 @@
             framing = b"Content-Length: %d\r\n" % answer.length
         end = b"Connection: close\r\n" if close else b""
         self._transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (kind, framing, end))
+        self._transport.set_write_buffer_limits(high=PASSING_BYTES)
         self._passing = Passing(self, chunked, close)
         return self._passing
 
--- a/cloverrouter/proxy/keeping.py
+++ b/cloverrouter/proxy/keeping.py
@@ -8,7 +8,7 @@
 
 from cloverrouter.proxy.messages import MAX_BODY
 
-MOST_EACH = 512 * 1024  # of one body; a larger one is passed on from its 64th KiB
+MOST_EACH = 256 * 1024  # of one body; a larger one is passed on from its 64th KiB
 
 
 class Keeping:
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -30,7 +30,7 @@
 STILL_ACCEPTING_S = 0.5
 RESERVED_SOCKETS = 24  # standard streams, the loop's own, the listener, discovery, and some air
 POLL_S = 0.02
-KEPT_SHARE = 0.1  # of the memory is for long bodies that are held; on their way they are there twice
+KEPT_SHARE = 0.06  # of the memory is for long bodies that are held; on their way they are there twice
 LOOK_S = 0.1  # for another process of this proxy
 LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
 log = logging.getLogger("cloverrouter.proxy")
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -33,6 +33,7 @@
 # Danger: a new host at an old address must not be sent requests on the old one's connections.
 Host = tuple[str, Address]
 READ_BYTES = 64 * 1024
+PIECE_BYTES = 32 * 1024
 MOST_BYTES = 2 * MOST_BODY  # of one answer with its heads, chunk sizes and all
 STALL_S = 10.0  # a long answer of which nothing comes for so long has ended
 SWEEP_S = 1.0
@@ -196,7 +197,8 @@
     # asyncio.BufferedProtocol: one buffer for all, since each read is used up at once
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._pool.upstream.buffer
+        # Of a long answer less is read at once: as much may wait for its client, of each of many.
+        return self._pool.upstream.buffer[: READ_BYTES if self._sink is None else PIECE_BYTES]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -230,7 +232,7 @@
             self._finish()
         elif self._spoilt:
             self._lose(self._spoilt)
-        elif self._sink is not None or len(self._body) > MAX_BODY:
+        elif self._body and (self._sink is not None or max(len(self._body), self._length or 0) > MAX_BODY):
             self._pass_on()
 
     def _pass_on(self) -> None:
