A server's limit keeps a proxy's part of its cores, also when it is new or slow by chance

Answers slow by chance or by a pause shrink a limit, and one each from two proxies can't use four cores. A limit no longer falls under, nor begins under, weight / proxies.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -76,7 +76,9 @@
 # Growth of a limit for each round of answers: by the time slowness shows, a surge has had some rounds.
 LIMIT_GROWTH = 0.25
 LIMIT_LEAST = 0.1  # of the time, then, one attempt is out there
-FIRST_LIMIT = 1.0  # own in flight allowed on a server nothing is known of: many proxies may start at once
+# Own in flight allowed on a server that nothing is known of (many proxies may start at once), and on a slow
+# one: a proxy's part of what keeps a server busy, its weight, which is about its cores; but one at least.
+PART_LEAST = 1.0
 BASE_WINDOW = 25  # answers in one sample of a class's unhurried latency
 # From this price of a crossing on, a request, draws follow the water-filled shares of the zones alone;
 # below it they are mixed with even ones, in proportion.
@@ -192,13 +194,13 @@
 class Endpoint:
     """One server as this proxy has come to know it."""
 
-    def __init__(self, listed: ListedEndpoint, earned: float, slowness: float) -> None:
+    def __init__(self, listed: ListedEndpoint, earned: float, slowness: float, limit: float) -> None:
         self.listed = listed
         self.earned = earned  # smoothed share of worth that its answers earned
         self.slowness = slowness  # smoothed latency, relative to what the class takes unhurried
         self.strain = 1.0  # smoothed; above 1 it is fed more than it should be
         self.in_flight = 0
-        self.limit = FIRST_LIMIT  # own in flight it may hold
+        self.limit = limit  # own in flight it may hold
         self.latency_ms = 0.0  # smoothed, over all classes
         self.waiting_since_ms = 0.0  # since then it owes answers and has given none
         self.failures = 0  # in a row, a burst of them counted once
@@ -324,7 +326,7 @@
             if entry.state is EndpointState.GONE:
                 self.endpoints.pop(entry.name, None)
             elif known is None:
-                self.endpoints[entry.name] = Endpoint(entry, earned, slowness)
+                self.endpoints[entry.name] = Endpoint(entry, earned, slowness, self.part(entry.weight))
             else:
                 if known.listed.started_ms != entry.started_ms:  # a new process: the old one's record is void
                     known.earned, known.slowness = earned, slowness
@@ -333,6 +335,11 @@
         self.ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
         self._share_out()
 
+    def part(self, weight: float) -> float:
+        """Danger: under it the limits of all proxies together leave cores idle, while requests are refused;
+        answers that are slow by chance, or by a pause, are enough to bring them there."""
+        return max(PART_LEAST, weight / self.settings.proxies)
+
     def _share_out(self) -> None:
         """How much of this zone's requests each zone gets.
 
@@ -956,7 +963,7 @@
                 self.now_ms,
                 min(latency_ms, good_ms),
                 max(usual.slowness(latency_ms), reported) / self._target(),
-                LIMIT_LEAST if self.crowded else 1.0,
+                LIMIT_LEAST if self.crowded else self.membership.part(attempt.endpoint.weight),
             )
         else:
             longest_ms = self.longest_deadline_ms / 2
