--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -77,7 +77,9 @@
 LIMIT_GROWTH = 0.25
 LIMIT_LEAST = 0.1  # of the time, then, one attempt is out there
 # Own in flight allowed on a server that nothing is known of (many proxies may start at once), and on a slow
-# one: a proxy's part of what keeps a server busy, its weight, which is about its cores; but one at least.
+# one: a proxy's part of what keeps a server busy, which is one attempt for each unit of its weight, or core,
+# and half as many on their way; but one at least.
+PART = 1.5
 PART_LEAST = 1.0
 BASE_WINDOW = 25  # answers in one sample of a class's unhurried latency
 # From this price of a crossing on, a request, draws follow the water-filled shares of the zones alone;
@@ -338,7 +340,7 @@
     def part(self, weight: float) -> float:
         """Danger: under it the limits of all proxies together leave cores idle, while requests are refused;
         answers that are slow by chance, or by a pause, are enough to bring them there."""
-        return max(PART_LEAST, weight / self.settings.proxies)
+        return max(PART_LEAST, PART * weight / self.settings.proxies)
 
     def _share_out(self) -> None:
         """How much of this zone's requests each zone gets.
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -101,7 +101,7 @@
     module = checkout / "cloverrouter" / "decide.py"
     module.write_text(
         module.read_text()
-        .replace("FIRST_LIMIT = 1.0", "FIRST_LIMIT = -9.0")
+        .replace("PART_LEAST = 1.0", "PART_LEAST = -9.0")
         .replace("max(1.0, self.limit)", "self.limit")
     )
     worse = compare(TINY, TINY, [1, 2, 3, 4, 5], 4, (str(ROOT), str(checkout)))
