--- a/benchmarks/operations.py
+++ b/benchmarks/operations.py
@@ -2,10 +2,10 @@
 
     python -m benchmarks.operations [upgrades] [long]
 
-upgrades: ten under load, one after the other; requests refused, failed or turned back, and the times of answers in
-the two seconds round each, against the time between (aim: none turned back). long: bodies and answers of 64 KiB to
-32 MiB, one at a time and sixteen at once with peers that read slowly; memory on top of an idle proxy's (aim: no
-growth with the size), and throughput against a bare copy between two sockets.
+upgrades: ten under load, one after the other; requests refused, failed or turned back, and the times of
+answers in the two seconds round each, against the time between (aim: none turned back). long: bodies and
+answers of 64 KiB to 32 MiB, one at a time and sixteen at once with peers that read slowly; memory on top of
+an idle proxy's (aim: no growth with the size), and throughput, peers and proxy on one machine.
 """
 
 from __future__ import annotations
--- a/tests/management/test_loopback.py
+++ b/tests/management/test_loopback.py
@@ -123,6 +123,9 @@
             for _, writer in silent[::2]:
                 writer.write(b"GET /stats HT")
             assert (await call(place, "GET /healthcheck"))[0] == 200
+            async with asyncio.timeout(UNFINISHED_S / 2):
+                with suppress(ConnectionError):
+                    await silent[0][0].read()  # over the bound the oldest makes room at once
             async with asyncio.timeout(UNFINISHED_S * 10):
                 for reader, _ in silent:
                     with suppress(ConnectionError):
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,7 +8,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -39,9 +39,11 @@
     reset,
     running,
 )
+from cloverrouter.proxy import upstream
 from cloverrouter.proxy.keeping import MOST_EACH, Keeping
 from cloverrouter.proxy.messages import MAX_BODY, MOST_BODY, Upload
 from tests.driver import SAFE, SETTINGS, UNSAFE, Driver
+from tests.test_upstream import FakeCall, until
 
 LONG = os.urandom(3 << 20)
 LARGE = 24 << 20
@@ -357,6 +359,47 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("answers", [True, False], ids=["half an answer", "no reading"])
+def test_host_that_stops_under_way_is_given_up(answers: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of a long answer nothing more comes, or of a long body nothing more is read."""
+    monkeypatch.setattr(upstream, "STALL_S", 0.3)
+    cuts: list[str] = []
+
+    class Taker:
+        on_ready: Callable[[], None] | None = None
+
+        def write(self, data: bytes) -> bool:
+            return True
+
+        def finish(self) -> None:
+            cuts.append("finished")
+
+        def cut(self) -> None:
+            cuts.append("cut")
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG) + LONG[:200_000])
+        await asyncio.sleep(60)
+
+    async def scene() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        port = server.sockets[0].getsockname()[1]
+        carrier, call, ends = upstream.Upstream(8, 60_000, 1000), FakeCall(), list[Outcome]()
+        if not answers:
+            call.upload = Upload(LARGE, lambda: None, lambda: None)
+            call.upload.feed(bytes(LARGE - 1))
+        carrier.send(
+            ("h", ("127.0.0.1", port)), call, 2000, lambda end, _: ends.append(end), lambda _: Taker()
+        )
+        await until(lambda: ends)
+        assert ends == [Outcome.SPOILT if answers else Outcome.CONNECT_FAILED]
+        assert cuts == (["cut"] if answers else [])
+
+    asyncio.run(scene())
+
+
 # Rules
 
 
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -25,7 +25,7 @@
 from cloverrouter.lab.peers import SETTINGS as TOLD
 from cloverrouter.lab.peers import Client, Discovery, Host, Proxy, never, ok, raw, reset, running
 from cloverrouter.proxy.config import missing
-from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver
+from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver, endpoint, full
 
 Json = dict[str, Any]
 NEW = {"name": "new", "aim_ms": 1500, "deadline_ms": 3000, "effect": "fragile", "worth": 1}
@@ -112,6 +112,26 @@
     asyncio.run(scene())
 
 
+def test_call_that_waited_through_two_changes_is_refused_not_repeated_without_a_key() -> None:
+    async def scene() -> None:
+        discovery, host = await Discovery().start(), await Host("h", never).start()
+        async with running(discovery, [host]) as proxy:
+            client = await proxy.client()
+            client.send("/keyed")
+            client.send("/unsafe")  # behind it, and checked by the classes of now
+            await host.wait(lambda: len(host.seen) == 1)
+            change(proxy, lambda told: classes(told).append(NEW))
+            await proxy.logged("classes keyed, safe, unsafe, new")
+            change(proxy, lambda told: classes(told)[2].update(effect="dedup"))
+            while proxy.log().count("from now on") < 2:
+                await asyncio.sleep(0.01)
+            host.open[1].write(ok())
+            assert [(await client.read()).status for _ in range(2)] == [200, 503]
+            assert len(host.seen) == 1
+
+    asyncio.run(scene())
+
+
 def without(*path: Any) -> Callable[[Json], None]:
     def edit(told: Json) -> None:
         *before, last = path
@@ -268,3 +288,18 @@
     burst = WorkRate(8000.0)
     burst.add(0.0, 80.0)
     assert burst.per_ms(1.0) == pytest.approx(80 / (8000 * RATE_SEEN_LEAST), rel=0.01)
+
+
+def test_limit_keeps_a_proxys_part_of_a_servers_cores() -> None:
+    """New or slow by chance: under it, two proxies leave three of four cores idle and refuse."""
+    heavy = [replace(endpoint(name), weight=4.0) for name in ("s1", "s2", "s3")]
+    driver = Driver(replace(SETTINGS, proxies=2), endpoints=[])
+    driver.tell(full(*heavy))
+    assert {e.limit for e in driver.balancer.view(driver.now_ms).endpoints} == {3.0}
+    driver.serve(60, latency_ms=20.0)
+    driver.serve(60, latency_ms=450.0)
+    assert {e.limit for e in driver.balancer.view(driver.now_ms).endpoints} == {3.0}
+    # Where more proxies send to a server than it has cores, a limit may be as low as ever.
+    many = Driver(replace(SETTINGS, proxies=12), endpoints=[])
+    many.tell(full(*heavy))
+    assert {e.limit for e in many.balancer.view(many.now_ms).endpoints} == {1.0}
