--- a/tests/management/test_loopback.py
+++ b/tests/management/test_loopback.py
@@ -127,14 +127,16 @@
                 with suppress(ConnectionError):
                     await silent[0][0].read()  # over the bound the oldest makes room at once
             async with asyncio.timeout(UNFINISHED_S * 10):
+                said = set()
                 for reader, _ in silent:
                     with suppress(ConnectionError):
-                        await reader.read()  # each ends: closed, or told that no whole call came
+                        said.add((await reader.read())[:12])  # each ends, and is told why if it is late
+                assert b"HTTP/1.1 408" in said
             for _, writer in silent:
                 writer.close()
             # A caller that ends its sending still gets its answer.
             reader, writer = await asyncio.open_connection(address, int(port))
-            writer.write(b"GET /healthcheck HTTP/1.1\r\n\r\n")
+            writer.write(b"PUT /hosts/h/ready HTTP/1.1\r\n\r\n")
             writer.write_eof()
             assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
             writer.close()
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -246,6 +246,7 @@
         async with running(await Discovery().start(), [host]) as proxy:
             client = await proxy.client()
             client.send("/unsafe", body=LONG * 4)
+            await asyncio.sleep(2.0)  # what it still sends must not overtake the answer
             assert (await client.read()).status == 503
 
     async def breaks_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -347,18 +348,35 @@
         async with scene_with(answer_ok) as (proxy, hosts):
             client = await proxy.client()
             head = b"POST http://backend.local/unsafe?a=b HTTP/1.1\r\nX-Request-ID: 1\r\n"
-            for piece in (head, b"Content-Length: 200000\r\n", b"\r\n"):
+            for piece in (head, b"Content-Length: 300000\r\n", b"\r\n"):
                 client.writer.write(piece)
                 await asyncio.sleep(0.6)
-            for _ in range(40):  # 64 kB a second: longer than the time that an unfinished head is given
+            for _ in range(60):  # 64 kB a second: longer than a head is given, and than any deadline
                 client.writer.write(b"x" * 5000)
-                await asyncio.sleep(0.08)
+                await asyncio.sleep(0.075)
             assert (await client.read()).status == 200
             assert hosts[0].seen[0].message.start == "POST /unsafe?a=b HTTP/1.1"  # from the absolute form
 
     asyncio.run(scene())
 
 
+def test_client_that_leaves_under_a_long_answer_frees_its_host() -> None:
+    async def endless(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LARGE + LONG)
+        await asyncio.sleep(0)
+
+    async def scene() -> None:
+        async with scene_with(endless) as (proxy, hosts):
+            client = await proxy.client()
+            client.send("/unsafe")
+            await client.reader.readexactly(MAX_BODY)
+            client.writer.transport.abort()
+            async with asyncio.timeout(5):
+                await hosts[0].wait(lambda: not hosts[0].open)
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("answers", [True, False], ids=["half an answer", "no reading"])
 def test_host_that_stops_under_way_is_given_up(answers: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """Of a long answer nothing more comes, or of a long body nothing more is read."""
@@ -407,7 +425,7 @@
 def test_what_is_held_stays_within_the_budget_and_all_is_given_back(
     steps: list[tuple[int, int | None]],
 ) -> None:
-    keeping, claims = Keeping(1_000_000), dict.fromkeys(range(4), 0)
+    keeping, claims = Keeping(300_000), dict.fromkeys(range(4), 0)
     for who, length in steps:
         now = MAX_BODY + 1 if length is None else min(MAX_BODY + 1, length)
         if keeping.may_hold(length, now, claims[who]):
