A look at the shared file undoes no host's ban that is still to be written

Between a call and its turn to save, another process's writing could be taken over whole: the ban just taken was dropped, and yes was said to it. Looks now wait for all saves under way, not only for the one that holds the lock. Test: two processes' words at the same moment; it fails with the former condition.

--- a/cloverrouter/management/shell.py
+++ b/cloverrouter/management/shell.py
@@ -224,7 +224,8 @@
     def _look_again(self) -> None:
         """Has another process written?"""
         self._look = asyncio.get_running_loop().call_later(LOOK_S, self._look_again)
-        if self._shared is None or self._saving.locked():
+        # Danger: what this process has still to write down would be undone by what another one wrote before.
+        if self._shared is None or self._jobs:
             return
         try:
             stamp = self._shared.stamp()
--- a/tests/management/test_loopback.py
+++ b/tests/management/test_loopback.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from cloverrouter.interface import ListedEndpoint, ListKind
 from cloverrouter.lab.peers import (
     Account,
     Askers,
@@ -29,8 +30,10 @@
     working_host,
 )
 from cloverrouter.lab.process import own_address
+from cloverrouter.management.calls import OperatorCall, Word
 from cloverrouter.management.file import Shared
-from cloverrouter.management.shell import MOST_CALLERS, UNFINISHED_S
+from cloverrouter.management.shell import MOST_CALLERS, UNFINISHED_S, Caller, Management
+from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
 from cloverrouter.proxy.presence import Presence
 from cloverrouter.roster.overlay import Drain
 
@@ -274,3 +277,28 @@
     assert all(os.waitpid(child, 0)[1] == 0 for child in children)
     said, aside = Shared(tmp_path).load()
     assert aside is None and len({d.server for d in said}) == 3 * count
+
+
+def test_look_at_the_file_undoes_no_word_that_is_still_to_be_written(tmp_path: Path) -> None:
+    class Asker(Caller):
+        def say(self, status: int, body: bytes) -> None:
+            said.append(status)
+
+    said: list[int] = []
+
+    async def scene() -> None:
+        management = Management(UnixClock(), tmp_path, lambda: (), lambda: False)
+        management.attach(None, lambda kind, found: None)  # type: ignore[arg-type]
+        entries = [HostEntry(ListedEndpoint(name), ("127.0.0.1", 1)) for name in ("a", "b")]
+        management.listed(ListKind.FULL, HostList(1, True, tuple(entries)))
+        management.called(Asker(management), OperatorCall(Word.TAKE_OUT, "a"))
+        Shared(tmp_path).change(lambda _: [Drain("b", "another process", 0.0)])
+        management._look_again()
+        async with asyncio.timeout(10):
+            while not said:
+                await asyncio.sleep(0.01)
+        management.close()
+        assert said == [200]
+        assert {drain.server for drain in Shared(tmp_path).load()[0]} == {"a", "b"}
+
+    asyncio.run(scene())
