Cold servers are fed by what they have shown; discovery is asked by its rhythm

Need: with most of a fleet new at once, all cold servers got their warmth of the load, not of their capacity; after a silence of discovery the watch took up to 7.5 s to find it back; an old list brought back servers told to leave. Change: membership/releases.py (half the forbidden push times the work done; what a warm server got does not fade in a release) and membership/watching.py (grace from the answers' lateness, no waiting calls while lost, full jitter over a span that grows with the proxies, a ledger for versions that go back), used by the proxy and the lab alike.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -50,6 +50,8 @@
     TimerFired,
     Why,
 )
+from cloverrouter.membership.releases import SHOWN_SPAN, Release, Shown, cold_rate
+from cloverrouter.membership.watching import reconnect_ms
 
 # The paper's own figures.
 BUDGET_CAPACITY = 100.0
@@ -210,6 +212,7 @@
         self.judged_ms: float | None = None  # when an outcome last said something about it
         self.cold_credit = 0.0  # work that it may be sent while cold
         self.cold_credit_ms: float | None = None  # when that was reckoned
+        self.shown: Shown | None = None  # the work it does, while it is cold
         self.share = 1.0  # how readily it is drawn
 
     @property
@@ -316,9 +319,11 @@
         self.shares: dict[str, float] = {}  # each zone's part of this proxy's requests
         self.weight = 0.0  # of all that are ready
 
-    def update(self, event: EndpointsListed) -> None:
+    def update(self, event: EndpointsListed) -> tuple[int, int]:
+        """How many servers began, and how many that were ready no longer are."""
         if event.kind is ListKind.FAILED:
-            return  # the old list stands
+            return 0, 0  # the old list stands
+        before = {e.listed.name: e.listed.started_ms for e in self.ready}
         if event.kind is not ListKind.DELTA:
             listed = {entry.name for entry in event.endpoints}
             self.endpoints = {name: e for name, e in self.endpoints.items() if name in listed}
@@ -332,10 +337,13 @@
             else:
                 if known.listed.started_ms != entry.started_ms:  # a new process: the old one's record is void
                     known.earned, known.slowness = earned, slowness
-                    known.cold_credit, known.cold_credit_ms = 0.0, None
+                    known.cold_credit, known.cold_credit_ms, known.shown = 0.0, None, None
                 known.listed = entry
         self.ready = [e for e in self.endpoints.values() if e.listed.state is EndpointState.READY]
         self._share_out()
+        now = {e.listed.name: e.listed.started_ms for e in self.ready}
+        began = sum(ms is not None and before.get(name) != ms for name, ms in now.items())
+        return began, len(before.keys() - now.keys())
 
     def part(self, weight: float) -> float:
         """Danger: under it the limits of all proxies together leave cores idle, while requests are refused;
@@ -571,6 +579,7 @@
         self.window_warm = 0  # the warm ones of these
         self.peak_rate = 0.0  # highest work rate of a warm server, fading
         self.peak_ms = 0.0
+        self.release = Release()
         self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
         self.arrivals = WorkRate(WINDOW_SPANS * self.longest_deadline_ms)
@@ -635,8 +644,10 @@
     # Discovery
 
     def _on_list(self, event: EndpointsListed) -> None:
-        self.membership.update(event)
+        began, left = self.membership.update(event)
         self.flow.resize(self.membership.weight)
+        if event.kind is not ListKind.RESTORED:
+            self._on_changes(began, left)
         if event.kind is ListKind.FAILED:
             if self.failed_calls == 0:
                 self.actions.append(Log("discovery lost: asking again, the old list stands"))
@@ -644,12 +655,18 @@
             # Danger: an unsubscribed proxy counts as told of drains and starts it has not heard of.
             # Ask well inside the time the rule allows, jittered so that the proxies don't ask as one.
             longest = self.settings.safety.must_ask_ms / 4
-            wait = min(longest, BACKOFF_BASE_MS * 2.0 ** min(self.failed_calls, 16))
-            self._set_timer(wait * (0.5 + self.random.random() / 2), self._subscribe)
+            wait = reconnect_ms(self.failed_calls, self.settings.proxies, longest, self.random)
+            self._set_timer(wait, self._subscribe)
         elif self.failed_calls:
             self.failed_calls = 0
             self.actions.append(Log("discovery back"))
 
+    def _on_changes(self, began: int, left: int) -> None:
+        before = self.release.on(self.now_ms)
+        self.release.told(self.now_ms, began, left, len(self.membership.ready))
+        if self.release.on(self.now_ms) and not before:
+            self.actions.append(Log("the fleet is being replaced: cold servers are fed by what they show"))
+
     def _subscribe(self) -> None:
         self.actions.append(Subscribe())
 
@@ -857,7 +874,9 @@
         # proxies keep to theirs in the same way. Credit for half a window at most: no bursts. It starts
         # at a random part of one request: full, the proxies' first requests would add up to a push;
         # empty, a server in few proxies' traffic would get nothing until it is warm.
-        rate = COLD_MARGIN * safety.push_multiple * warmth * self._warm_rate()
+        stated = COLD_MARGIN * safety.push_multiple * warmth * self._warm_rate()
+        shown = endpoint.shown.per_ms(self.now_ms) if endpoint.shown else 0.0
+        rate = cold_rate(stated, shown, safety.push_multiple)
         if endpoint.cold_credit_ms is None:
             endpoint.cold_credit, endpoint.cold_credit_ms = self.random.random() * request.work, self.now_ms
         most = max(rate * safety.push_window_ms / 2, request.work)
@@ -878,6 +897,8 @@
             mean = sum(usual.mean_ms for usual in self.latencies.values()) / max(1, len(self.latencies))
             return self.arrivals.per_ms(self.now_ms) * mean / max(1, self.window_count)
         kept = 1 - (self.now_ms - self.peak_ms) / max(1.0, self.settings.safety.cold_ms)
+        if self.release.on(self.now_ms):
+            kept = 1.0  # what faded while none is left to show it would come back as refusals
         self.peak_rate, self.peak_ms = max(rate, self.peak_rate * max(0.0, kept)), self.now_ms
         return self.peak_rate
 
@@ -960,6 +981,7 @@
             attempt.endpoint.judge(self.now_ms, 0.0, max(1.0, usual.slowness(latency_ms)))
         if outcome in WORKED:
             attempt.endpoint.answered(self.now_ms, latency_ms)
+            self._show(attempt.endpoint, request.work)
         if outcome in (*WORKED, Outcome.TIMEOUT):
             attempt.endpoint.adapt_limit(
                 self.now_ms,
@@ -971,6 +993,15 @@
             longest_ms = self.longest_deadline_ms / 2
             attempt.endpoint.failed(self.now_ms, usual.base_ms, longest_ms, outcome in BROKEN)
 
+    def _show(self, endpoint: Endpoint, work: float) -> None:
+        """A server that is still cold has done so much."""
+        safety = self.settings.safety
+        if endpoint.warmth(self.now_ms, safety) >= 1:
+            endpoint.shown = None
+            return
+        endpoint.shown = endpoint.shown or Shown(SHOWN_SPAN * safety.push_window_ms)
+        endpoint.shown.add(self.now_ms, work)
+
     def _on_stream(self, event: StreamStarted) -> None:
         request = self.requests.get(event.request_id)
         if request is not None and not request.done:
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -9,11 +9,9 @@
 
 import httptools
 
+from cloverrouter.membership.watching import Asking, Ledger, Question
 from cloverrouter.proxy.config import Address, HostList, UnixClock, read_list
 
-# Danger: a watch that has fallen silent looks just like one that waits; only after the wait can it be told.
-HOLD_MS = 3_000
-GRACE_S = 2.0  # over what a call may take: from then on discovery is taken to be silent
 CONNECT_S = 1.0
 MOST_BYTES = 4 * 1024 * 1024
 # An empty answer sooner than this is from an agent that does not wait: it is not to be asked in a loop.
@@ -66,9 +64,13 @@
         self._on_failure = on_failure
         self._task: asyncio.Task[None] | None = None
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        self.version: int | None = None
-        self.hold_ms = HOLD_MS
-        self.grace_s = GRACE_S
+        self.asking = Asking()
+        self._ledger = Ledger()
+
+    def resume(self, version: int) -> None:
+        """Go on from a list that is known already."""
+        self.asking.version = version
+        self._ledger = Ledger(version)
 
     def start(self) -> None:
         if self._task is None or self._task.done():
@@ -80,7 +82,8 @@
         Danger: a call that is out may go on waiting at the old address while its list grows stale.
         """
         self.stop()
-        self._address, self.version = address, None
+        self._address = address
+        self.asking, self._ledger = Asking(self.asking.hold_s, self.asking.grace_most_s), Ledger()
         self.start()
 
     def stop(self) -> None:
@@ -92,16 +95,15 @@
     async def _run(self) -> None:
         backoff_s = PUSHED_FIRST_S
         while True:
-            asked_s = asyncio.get_running_loop().time()
+            asked, asked_s = self.asking.question(), asyncio.get_running_loop().time()
             try:
-                found = await self._call()
+                found = await self._call(asked)
             except Exception as error:
                 # Danger: an answer that can't be read in a way nobody thought of would end the watch for
                 # good. Nothing of the module's runs in here: its crashes are not hidden.
                 log.warning("discovery: %s: %s", type(error).__name__, error)
                 self._close()
-                if not isinstance(error, OSError | EOFError | DiscoveryError):
-                    self.version = None  # what follows on it can't be trusted: ask for the whole list
+                self.asking.failed(isinstance(error, OSError | EOFError | DiscoveryError))
                 self._on_failure()
                 if not self._pushed:
                     return
@@ -109,21 +111,22 @@
                 backoff_s = min(PUSHED_MOST_S, 2 * backoff_s)
                 continue
             backoff_s = PUSHED_FIRST_S
-            self.version = found.version
-            self._on_list(found)
-            if not found.entries and asyncio.get_running_loop().time() - asked_s < HASTY_S:
+            took_s = asyncio.get_running_loop().time() - asked_s
+            self.asking.answered(asked, took_s, found.version, bool(found.entries))
+            self._on_list(self._ledger.take(found))
+            if not found.entries and asked.hold_s and took_s < HASTY_S:
                 await asyncio.sleep(PAUSE_S)
 
-    async def _call(self) -> HostList:
-        target, hold_s = "/v1/servers", 0.0
-        if self.version is not None:
-            target, hold_s = f"{target}?from={self.version}&hold_ms={self.hold_ms}", self.hold_ms / 1000
-        async with asyncio.timeout(hold_s + self.grace_s):
+    async def _call(self, asked: Question) -> HostList:
+        target = "/v1/servers"
+        if asked.version is not None:
+            target = f"{target}?from={asked.version}&hold_ms={asked.hold_s * 1000:.0f}"
+        async with asyncio.timeout(asked.hold_s + asked.grace_s):
             status, body = await self._get(target)
         if status != 200:
             raise DiscoveryError(f"answered {status}")
         found = read_list(json.loads(body), self._clock)
-        if self.version is None and not found.full:
+        if asked.version is None and not found.full:
             raise ValueError("changes came for the whole list")
         return found
 
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -123,7 +123,7 @@
         listed = management.listed
         node.observer = joined(node.observer, management.figures)
     if told.known is not None:
-        watch.version = told.known.version
+        watch.resume(told.known.version)
         listed(ListKind.RESTORED, told.known)
     if pushed or told.known is None:
         watch.start()
