--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -109,6 +109,9 @@
 # A time-out speaks against its server's being there if it had this multiple of the usual time, and so long.
 SILENCE_SPANS, SILENCE_LEAST_MS = 2.0, 100.0
 SILENCED = 1 / 3  # of the servers: if so many fell silent with all others, the network did
+# A trial's connection is up within so long, many round trips, or nobody is there: what is left of the
+# request's time is needed for the way elsewhere.
+TRIAL_MS = 100.0
 TRIAL_TOKENS = 3  # retries that the budget must have left for a trial: it may cost one
 # Of a class nothing is known of, when the request does not say either.
 DEFAULT_DEADLINE_MS = 1000.0
@@ -378,7 +381,7 @@
 
     def weigh(self) -> None:
         """Something has changed for or against a server."""
-        self.fleet.doubts = sum(e.evidence.against > 0 for e in self.ready)
+        self.fleet.doubts = sum(e.evidence.stands for e in self.ready)
         self.fleet.all_doubted = 0 < len(self.ready) == self.fleet.doubts
 
     def excuse(self, heard_ms: float) -> None:
@@ -737,7 +740,8 @@
     def _weigh(self, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
         """What the end of an attempt says about its server's being there."""
         endpoint, evidence = attempt.endpoint, attempt.endpoint.evidence
-        if evidence.trying == request.id:
+        trial = evidence.trying == request.id
+        if trial:
             evidence.trying = None
         sign, ended, before_ms = event.sign, evidence.ended, evidence.fleet.heard_ms
         if event.outcome in HEARD:
@@ -745,14 +749,16 @@
                 self._cleared(endpoint, ended)
             if evidence.fleet.doubts:
                 self.membership.excuse(before_ms)
-        elif event.outcome is Outcome.CONNECT_FAILED:
-            if sign is None and event.latency_ms >= self.settings.limits.connect_timeout_ms / 2:
+        elif event.outcome is Outcome.CONNECT_FAILED or (trial and event.outcome is Outcome.NOT_SENT):
+            if sign is None and event.latency_ms >= min(
+                TRIAL_MS, self.settings.limits.connect_timeout_ms / 2
+            ):
                 sign = Sign.UNANSWERED
         elif event.outcome is Outcome.TIMEOUT and evidence.heard_ms <= attempt.sent_ms:
             # Danger: a slow server times out, too. But it goes on answering others.
             usual_ms = request.usual.mean_ms if request.usual else DEFAULT_DEADLINE_MS / 4
             if event.latency_ms >= max(SILENCE_SPANS * usual_ms, SILENCE_LEAST_MS):
-                sign = Sign.UNANSWERED
+                sign = Sign.SILENT
         if sign is not None:
             self._against(endpoint, sign, attempt.sent_ms)
 
@@ -858,7 +864,7 @@
         if not self.membership.fleet.doubts or request.attempts or not request.repeatable():
             return False
         usual_ms = request.usual.mean_ms if request.usual else DEFAULT_DEADLINE_MS / 4
-        lost_ms = self.settings.limits.connect_timeout_ms + BACKOFF_BASE_MS + DEADLINE_MARGIN_MS
+        lost_ms = TRIAL_MS + BACKOFF_BASE_MS + DEADLINE_MARGIN_MS
         if self._useless_ms(request) - self.now_ms < lost_ms + 2 * usual_ms or request.most_attempts < 2:
             return False
         if self.budget.tokens < TRIAL_TOKENS / RETRY_RATIO:
@@ -1042,7 +1048,7 @@
             self.work_rate.add(self.now_ms, request.work / max(1, self.window_warm))
         self._drop_timer(request)
         # Danger: a repeat whose connection comes up late would go out after its key is forgotten.
-        within_ms = request.repeats_end_ms() - self.now_ms
+        within_ms = min(request.repeats_end_ms() - self.now_ms, TRIAL_MS if fresh else float("inf"))
         attempt = Attempt(endpoint, self.now_ms, counted=False)
         request.attempts.append(attempt)
         request.out += 1
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -44,7 +44,8 @@
     """What a connection to an endpoint showed, besides how an attempt ended."""
 
     REFUSED = "refused"  # nobody listens there: its machine says so
-    UNANSWERED = "unanswered"  # nothing came back in time
+    UNANSWERED = "unanswered"  # no connection came up in time
+    SILENT = "silent"  # a request had no answer in time, nor had any other meanwhile
     HUNG_UP = "hung_up"  # all connections to it were ended from there, at one moment
     ACCEPTED = "accepted"  # a new connection came up
 
--- a/cloverrouter/membership/evidence.py
+++ b/cloverrouter/membership/evidence.py
@@ -21,6 +21,12 @@
 LAPSE_MS = 30_000.0
 # So many bursts of silence, each after the one before had ended, make a suspect absent.
 BURSTS = 2
+# So many requests must have gone unanswered: one may have been a costly one, which nothing overtook by
+# chance.
+SILENT_LEAST = 2
+
+
+WEIGHT = {Sign.SILENT: 0, Sign.UNANSWERED: 1, Sign.HUNG_UP: 1, Sign.REFUSED: 2}
 
 
 @dataclass(slots=True)
@@ -47,6 +53,7 @@
         "heard_ms",
         "last_ms",
         "sign",
+        "silent",
         "since_ms",
         "trial_ms",
         "trying",
@@ -56,6 +63,7 @@
         self.fleet = fleet
         self.heard_ms = float("-inf")
         self.against = 0  # bursts of signs since it was last heard
+        self.silent = 0  # requests without an answer among them
         self.sign: Sign | None = None  # the weightiest of them
         self.since_ms = self.last_ms = 0.0  # the first of them, and the last
         self.ended = False  # its process was seen to end: what answers next is another one
@@ -84,21 +92,27 @@
     def silenced_since(self, heard_ms: float) -> bool:
         """Does nothing but silence speak against it, which began after `heard_ms`?"""
         return (
-            self.against > 0 and self.sign is Sign.UNANSWERED and not self.ended and self.since_ms > heard_ms
+            self.stands
+            and self.sign in (Sign.UNANSWERED, Sign.SILENT)
+            and not self.ended
+            and self.since_ms > heard_ms
         )
 
     def _cleared(self) -> bool:
         if not self.against:
             return False
-        self.against, self.sign, self.ended, self.gap_ms = 0, None, False, self.first_gap_ms
+        self.against, self.silent, self.sign, self.ended = 0, 0, None, False
+        self.gap_ms = self.first_gap_ms
         return True
 
     def saw(self, sign: Sign, sent_ms: float, now_ms: float, jitter: float) -> bool:
-        """A sign against it, of what was begun at `sent_ms`; `jitter` from 0 to 1. True if it is the first.
+        """A sign against it, of what was begun at `sent_ms`; `jitter` from 0 to 1. True if that makes it
+        stand.
 
         Danger: twenty attempts that were out when a machine vanished time out one by one. That is one event.
         """
-        first = not self.against
+        stood, first = self.stands, not self.against
+        self.silent += sign is Sign.SILENT
         self.ended = self.ended or sign in (Sign.REFUSED, Sign.HUNG_UP)
         if first:
             self.against, self.sign, self.since_ms, self.trial_ms = 1, sign, now_ms, now_ms
@@ -107,10 +121,16 @@
         elif sent_ms >= self.last_ms:
             self.against += 1
             self._wait(now_ms, jitter)
-        if sign is Sign.REFUSED or self.sign is not Sign.REFUSED:
+        assert self.sign is not None
+        if WEIGHT[sign] >= WEIGHT[self.sign]:
             self.sign = sign
         self.last_ms = now_ms
-        return first
+        return self.stands and not stood
+
+    @property
+    def stands(self) -> bool:
+        """Is there enough against it to count at all?"""
+        return self.against > 0 and (self.sign is not Sign.SILENT or self.silent >= SILENT_LEAST)
 
     def _wait(self, now_ms: float, jitter: float) -> None:
         self.trial_ms = now_ms + self.gap_ms * (0.5 + jitter / 2)
@@ -119,7 +139,7 @@
     def belief(self, now_ms: float) -> Belief:
         if not self.against:
             return Belief.UNKNOWN if self.heard_ms == float("-inf") else Belief.PRESENT
-        if self.fleet.all_doubted:
+        if self.fleet.all_doubted or not self.stands:
             return Belief.UNKNOWN
         # Danger: what may have been heard of nobody, our own network being down, says nothing about this one.
         # It has not been heard since the doubt began: whoever was, is another. A refusal is itself an answer.
@@ -128,7 +148,7 @@
         # While discovery is silent nothing but this tells: a doubt does not lapse then.
         if now_ms - self.last_ms > LAPSE_MS and self.fleet.told_ms - self.last_ms > LAPSE_MS / 2:
             return Belief.UNKNOWN
-        if self.sign is Sign.REFUSED or (self.sign is Sign.UNANSWERED and self.against >= BURSTS):
+        if self.sign is Sign.REFUSED or (self.sign is not Sign.HUNG_UP and self.against >= BURSTS):
             return Belief.ABSENT
         return Belief.SUSPECT
 
@@ -147,13 +167,14 @@
         assert self.sign is not None
         signs = {
             Sign.REFUSED: "refused a connection",
-            Sign.UNANSWERED: "has not answered",
+            Sign.UNANSWERED: "did not answer a connection",
+            Sign.SILENT: "did not answer a request",
             Sign.HUNG_UP: "ended all its connections",
         }
         text = f"{signs[self.sign]} {(now_ms - self.last_ms) / 1000:.1f} s ago"
         if self.against > 1:
             text += f", {self.against} times since {(now_ms - self.since_ms) / 1000:.1f} s"
-        if self.belief(now_ms) is Belief.UNKNOWN:
+        if self.stands and self.belief(now_ms) is Belief.UNKNOWN:
             nobody = "so does every other" if self.fleet.all_doubted else "nobody else was heard since"
             text += f"; not counted: {nobody if now_ms - self.last_ms <= LAPSE_MS else 'too long ago'}"
         return text
