Learn for each server how long a connection may idle before it breaks on use

Change: membership/idling.py compares the shares of uses that broke beyond and below each idle time, for each server and for all; the pool uses none beyond the age, but for one use in fifty by a request that may be repeated. The lab's servers can drop idle connections (drops_idle_ms), on both drivers.

--- a/cloverrouter/lab/http.py
+++ b/cloverrouter/lab/http.py
@@ -156,6 +156,7 @@
         self._number = stand_in.server.number
         self._job: Job | None = None
         self._used = False
+        self._idle_since = float("inf")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -174,6 +175,9 @@
 
     def request(self, target: bytes, headers: dict[bytes, bytes]) -> None:
         stand_in, server = self._stand_in, self._stand_in.server
+        if server.forgets(server.loop.time() - self._idle_since):
+            self.abort()
+            return
         path, _, query = target.partition(b"?")
         told = dict(part.partition(b"=")[::2] for part in query.split(b"&"))
         try:
@@ -209,6 +213,7 @@
 
     def _answer(self, reply: Reply) -> None:
         self._job = None
+        self._idle_since = self._stand_in.server.loop.time()
         if reply.how == "reset":
             self.abort()
             return
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -130,6 +130,7 @@
     queue: Count = 60  # that may wait; more are turned away
     connections: Some = 76
     handshake_ms: Ms = 15.0  # of work, for each new connection
+    drops_idle_ms: Ms = 0.0  # connections idle for so long are dropped without a word; 0: never
     error_share: Share = 0.0
     drafts: Count = 0  # that it holds in memory, the last used; a new process has none
     report_ms: Ms = 500.0  # between two readings of its load
--- a/cloverrouter/lab/server.py
+++ b/cloverrouter/lab/server.py
@@ -142,6 +142,10 @@
         jam = self.kind.jam_slower if self.jammed_since is not None else 1.0
         return 0.0 if self.frozen else self.speed * self.warmth() / self.slower / jam
 
+    def forgets(self, idle_s: float) -> bool:
+        """Has a connection that stood idle so long been dropped, without a word?"""
+        return 0 < self.kind.drops_idle_ms <= idle_s * 1000
+
     # Requests
 
     def receive(self, job: Job) -> None:
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -13,6 +13,7 @@
 from cloverrouter.lab.registry import Listing
 from cloverrouter.lab.server import Job, Reply, Server
 from cloverrouter.lab.world import settings_of
+from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.membership.watching import Asking, Ledger, Question
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
@@ -62,12 +63,13 @@
 class Conn:
     """A connection from a proxy to one process of a server."""
 
-    __slots__ = ("dead", "exchange", "host", "idle_since", "number", "server", "used")
+    __slots__ = ("dead", "exchange", "host", "idle_s", "idle_since", "number", "server", "used")
 
     def __init__(self, host: Host, server: Server) -> None:
         self.host, self.server, self.number = host, server, server.number
         self.dead = self.used = False
         self.idle_since = 0.0
+        self.idle_s = 0.0  # before its last use
         self.exchange: SimExchange | None = None
 
 
@@ -122,10 +124,14 @@
         self.conns: dict[Conn, None] = {}
         self._idle_s = world.scenario.proxies.conn_idle_ms * IDLE_SHARE / 1000
         self._connect_s = world.scenario.proxies.connect_timeout_ms / 1000
+        self._uses = Uses()
+        self._ages: dict[Host, IdleAges] = {}
         self._reports: dict[str, tuple[tuple[float, ...], bytes]] = {}
 
     def keep_only(self, wanted: set[Host]) -> None:
         self._wanted = wanted
+        for host in [host for host in self._ages if host not in wanted]:
+            del self._ages[host]
         for host in [host for host in self._pools if host not in wanted]:
             for conn in self._pools.pop(host):
                 self.close(conn)
@@ -153,7 +159,9 @@
         pool, now_s = self._pools.get(host, []), self._engine.now
         while pool:
             conn = pool.pop()
-            if on_open is None and conn.idle_since >= now_s - self._idle_s:
+            conn.idle_s = now_s - conn.idle_since
+            fit = on_open is None and conn.idle_s <= self._idle_s
+            if fit and self._age(host).may_use(conn.idle_s, ask.kind.effect != "unsafe"):
                 self._write(exchange, conn)
                 return exchange
             self.close(conn)
@@ -162,6 +170,11 @@
         engine.post(net.delay_s(self._name, server.name), self._knock, exchange, server)
         return exchange
 
+    def _age(self, host: Host) -> IdleAges:
+        if host not in self._ages:
+            self._ages[host] = IdleAges(self._uses)
+        return self._ages[host]
+
     def _knock(self, exchange: SimExchange, server: Server) -> None:
         """A connection is asked for, at the server's end."""
         world = self.world
@@ -219,7 +232,7 @@
             return
         if not server.reachable or not self.world.net.passes(self._name, server.name):
             return  # into the void: nothing tells
-        if conn.number != server.number:
+        if conn.number != server.number or server.forgets(conn.idle_s):
             self._reply(exchange, conn, Reply("reset", None))
         elif not conn.dead:
             server.receive(job)
@@ -235,6 +248,7 @@
             return
         outcome = OUTCOMES[reply.how]
         conn.exchange = exchange.conn = None
+        self._age(conn.host).used(conn.idle_s, reply.how == "reset", self._engine.now)
         if reply.how == "reset":
             self.close(conn)
             exchange.end(outcome)
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -15,6 +15,7 @@
 import httptools
 
 from cloverrouter.interface import Outcome, Sign
+from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.messages import (
     MAX_BODY,
@@ -145,6 +146,7 @@
         self._stuck = False  # its client has enough for now
         self.moved_s = 0.0  # when something of it last came
         self.idle_since = 0.0
+        self.idle_s = 0.0  # that it stood idle before its last use
         self._aborted = False  # ended from this side
         self._begin()
 
@@ -166,6 +168,7 @@
     def send(self, exchange: Exchange) -> None:
         assert self._exchange is None
         if self._transport is None:  # the host has closed it before anything could be written
+            self._pool.used(self, True)
             exchange.end(Outcome.CONNECT_FAILED)
             return
         self._received = 0
@@ -334,6 +337,8 @@
             return
         if sink is not None:
             sink.cut()
+        if not self._received and not spoilt:
+            self._pool.used(self, True)  # not a byte of an answer: it may have been gone before its use
         if not exchange.written:
             exchange.end(Outcome.CONNECT_FAILED)
         elif spoilt:
@@ -345,6 +350,7 @@
     def _finish(self) -> None:
         exchange, self._exchange = self._exchange, None
         assert exchange is not None and self._parser is not None
+        self._pool.used(self, False)
         exchange.connection = None
         sink, self._sink = self._sink, None
         answer = self._answer(bytes(self._body))
@@ -422,6 +428,7 @@
         self.upstream = upstream
         self.host = host
         self.idle: list[Connection] = []
+        self.ages = IdleAges(upstream.uses_seen)
         self.up: set[Connection] = set()
         self._ended_s: list[float] = []  # when the host ended the last ones
 
@@ -447,18 +454,35 @@
         connection.idle_since = self.upstream.loop.time()
         self.idle.append(connection)
 
-    def take(self) -> Connection | None:
+    def take(self, repeatable: bool) -> Connection | None:
         """An idle connection that a request may go out on."""
-        settled_s = self.upstream.loop.time() - SETTLE_S
+        now_s = self.upstream.loop.time()
+        settled_s = now_s - SETTLE_S
         for connection in reversed(self.idle):
             if connection.idle_since <= settled_s:
+                idle_s = now_s - connection.idle_since
+                # Danger: one that has stood too long may be gone without a word; what is written to it is
+                # reset, and may have run. All others have stood for longer still.
+                if not self.ages.may_use(idle_s, repeatable):
+                    return None
                 self.idle.remove(connection)
                 if connection.clean():
+                    connection.idle_s = idle_s
                     return connection
                 connection.abort()
-                return self.take()
+                return self.take(repeatable)
         return None
 
+    def used(self, connection: Connection, broke: bool) -> None:
+        self.ages.used(connection.idle_s, broke, self.upstream.loop.time())
+
+    def drop_doubtful(self) -> None:
+        """Close what has stood idle for too long, but the youngest: a trial tells whether that still
+        holds."""
+        before_s = self.upstream.loop.time() - self.ages.limit_s
+        for connection in [c for c in self.idle[:-1] if c.idle_since < before_s]:
+            connection.abort()
+
     def forget(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
@@ -480,6 +504,7 @@
         self._idle_s = idle_ms * IDLE_SHARE / 1000
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._pools: dict[Host, Pool] = {}
+        self.uses_seen = Uses()  # of all hosts' connections
         self.on_sign: Callable[[str, Sign], None] = lambda name, sign: None
         self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -522,7 +547,8 @@
         pool.drop_idle(self.loop.time() - self._idle_s)
         if on_open is not None:
             pool.drop_idle()  # kept from before the doubt: they may lead nowhere
-        connection = pool.take()
+        repeatable = call.upload is None and (bool(call.idempotency_key) or call.method == b"GET")
+        connection = pool.take(repeatable)
         if connection is not None:
             connection.send(exchange)
         elif self.open >= self._most_open and not self._make_room():
@@ -587,6 +613,7 @@
         before = self.loop.time() - self._idle_s
         for pool in self._pools.values():
             pool.drop_idle(before)
+            pool.drop_doubtful()
         for connection in [c for c in self.connections if c.stalled]:
             connection.stall()  # danger: it would hold its client's connection for good
         self.loop.call_later(SWEEP_S, self._sweep)
