Newcomers are connected to ahead; three connections, not two, tell of a process's end

Change: Upstream.open_ahead, once for each newcomer, by few proxies only; three connections within 10 ms tell of an end.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from cloverrouter.clock import Handle, Loop
-from cloverrouter.decide import Balancer
+from cloverrouter.decide import Balancer, crowded
 from cloverrouter.interface import (
     Action,
     AttemptEnded,
@@ -132,6 +132,9 @@
 
     def keep_only(self, wanted: set[Host]) -> None: ...
 
+    def open_ahead(self, host: Host) -> None:
+        """Connect once to a host that has just been listed."""
+
 
 class Try:
     """An attempt that is out."""
@@ -494,6 +497,7 @@
     # Discovery
 
     def listed(self, kind: ListKind, found: HostList) -> None:
+        before = set(self._addresses.items())
         if kind is not ListKind.DELTA:
             self._addresses.clear()
         for entry in found.entries:
@@ -504,6 +508,11 @@
                 self._addresses.pop(name, None)
         self._upstream.keep_only(set(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
+        # Danger: of many proxies one connection each is a flood, at the very moment that a host starts. And
+        # what a first list names has long been there.
+        if before and not crowded(self._settings):
+            for host in self._addresses.items() - before:
+                self._upstream.open_ahead(host)
         # Danger: a send to a host that drains, still connecting now, could go out after the grace.
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -41,9 +41,9 @@
 # Idle connections are kept for this part of the time after which the host may close them: a request
 # written to one that the host is just closing ends as a reset, which may have run.
 IDLE_SHARE = 0.5
-# Connections to a host that its own side ends, the last of them within so long of the first: its process
-# ended.
-TOGETHER_S = 0.05
+# So many connections to a host, all that there are, that its side ends within so long: its process has ended.
+# Danger: on a day on which connections break one by one, two of two do within 50 ms ten times in 20 s.
+TOGETHER_S, TOGETHER = 0.01, 3
 # What a host sends behind an answer (a second copy, noise) may come in a read of its own. Nothing goes
 # out on a connection before that has had time to come, or it would be taken for the next answer.
 SETTLE_S = 0.005
@@ -443,7 +443,7 @@
         self._ended_s = [s for s in self._ended_s if s > now_s - TOGETHER_S]
         self._ended_s.append(now_s)
         # Danger: one that ends by itself, idle for long or broken under way, says nothing about the others.
-        if not self.up and len(self._ended_s) > 1 and self.upstream.uses(self):
+        if not self.up and len(self._ended_s) >= TOGETHER and self.upstream.uses(self):
             self._ended_s.clear()
             self.upstream.on_sign(self.host[0], Sign.HUNG_UP)
 
@@ -560,6 +560,24 @@
             task.add_done_callback(lambda task: self._opened(task, exchange))
         return exchange
 
+    def open_ahead(self, host: Host) -> None:
+        """One connection to a host that has just been listed, before a request needs it. It costs the host no
+        more than its first request would, and tells whether anybody is there at all."""
+        if self.open >= self._most_open // 2:
+            return  # danger: what may come to nothing must not take the room of what is asked for
+        exchange = Exchange((b"", b""), None, lambda outcome, answer: None, None)
+        exchange.on_end = None
+        pool = self._pools.setdefault(host, Pool(self, host))
+        task = self.loop.create_task(self._connect(pool, exchange))
+        self._opening.add(task)
+
+        def done(task: asyncio.Task[None]) -> None:
+            self._opened(task, exchange)
+            if exchange.sign is not None and self.uses(pool):
+                self.on_sign(host[0], exchange.sign)
+
+        task.add_done_callback(done)
+
     def _opened(self, task: asyncio.Task[None], exchange: Exchange) -> None:
         """Comes however the task ends, also if it was called off before its first step."""
         self._opening.discard(task)
