--- a/tests/membership/test_fleets.py
+++ b/tests/membership/test_fleets.py
@@ -1,7 +1,7 @@
 """The hard cases of membership in doubt, each on a whole fleet in simulated time, all four rules watched.
 
-The worth that each keeps lies between what it is and what it was before the guards (`docs/design/membership.md`), one
-seed each: the same to the byte in every process.
+The worth that each keeps lies between what it is and what it was before the guards
+(`docs/design/membership.md`), one seed each: the same to the byte in every process.
 """
 
 from __future__ import annotations
