--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -772,10 +772,10 @@
 
     def _against(self, endpoint: Endpoint, sign: Sign, sent_ms: float) -> None:
         evidence = endpoint.evidence
-        first = evidence.saw(sign, sent_ms, self.now_ms, self.random.random())
+        new = evidence.saw(sign, sent_ms, self.now_ms, self.random.random())
         if evidence.ended:
             endpoint.restarted(self.now_ms)
-        if first:
+        if new:
             self.membership.weigh()
             if evidence.ended:
                 text = (
@@ -1136,7 +1136,6 @@
         """A server that is still cold has done so much."""
         safety = self.settings.safety
         if endpoint.warmth(self.now_ms, safety) >= 1:
-            endpoint.shown = None
             return
         endpoint.shown = endpoint.shown or Shown(SHOWN_SPAN * safety.push_window_ms)
         endpoint.shown.add(self.now_ms, work)
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -13,13 +13,14 @@
 from cloverrouter.lab.registry import Listing
 from cloverrouter.lab.server import Job, Reply, Server
 from cloverrouter.lab.world import settings_of
+from cloverrouter.membership.evidence import Ends
 from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.membership.watching import Asking, Ledger, Question
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.observer import Final, Tried
-from cloverrouter.proxy.upstream import IDLE_SHARE, TOGETHER, Host, OnBegin, OnEnd
+from cloverrouter.proxy.upstream import IDLE_SHARE, Host, OnBegin, OnEnd
 
 if TYPE_CHECKING:
     from cloverrouter.lab.simulation import Simulation
@@ -312,7 +313,8 @@
         heard."""
         if server.reachable and self.world.net.passes(server.name, self._name):
             ended = [conn for conn in self.conns if conn.server is server]
-            if len(ended) >= TOGETHER:
+            ends, now_ms = Ends(), self._engine.now * 1000
+            if [ends.add(now_ms, left) for left in reversed(range(len(ended)))][-1:] == [True]:
                 name, delay_s = ended[0].host[0], self.world.net.delay_s(server.name, self._name)
                 self.world.engine.post(delay_s, self._proxy.signed, name, Sign.HUNG_UP, self._proxy.lives)
             for conn in ended:
--- a/cloverrouter/membership/evidence.py
+++ b/cloverrouter/membership/evidence.py
@@ -26,6 +26,9 @@
 SILENT_LEAST = 2
 
 
+# So many connections to a server, all that there are, that its side ends within so long: its process has
+# ended. Danger: on a day on which connections break one by one, two of two do within 50 ms ten times in 20 s.
+TOGETHER_MS, TOGETHER = 10.0, 3
 WEIGHT = {Sign.SILENT: 0, Sign.UNANSWERED: 1, Sign.HUNG_UP: 1, Sign.REFUSED: 2}
 
 
@@ -36,12 +39,31 @@
     proxies: int = 1
     heard_ms: float = float("-inf")  # when any of them last answered
     told_ms: float = float("-inf")  # when discovery last did
-    doubts: int = 0  # servers that something speaks against
+    doubts: int = 0  # servers that enough speaks against
     # Danger: with something against every server, no more than against all of them at once is known. That may
     # be our own network's doing, and must not leave nobody to send to.
     all_doubted: bool = False
 
 
+class Ends:
+    """Connections to a server that were ended by its side: all at one moment are its process's end."""
+
+    __slots__ = ("_at_ms",)
+
+    def __init__(self) -> None:
+        self._at_ms: list[float] = []
+
+    def add(self, now_ms: float, left: int) -> bool:
+        """One more has ended, and so many are left. True if that was the end of the process."""
+        self._at_ms = [at_ms for at_ms in self._at_ms if at_ms > now_ms - TOGETHER_MS]
+        self._at_ms.append(now_ms)
+        # Danger: one that ends by itself, idle for long or broken under way, says nothing about the others.
+        if left or len(self._at_ms) < TOGETHER:
+            return False
+        self._at_ms.clear()
+        return True
+
+
 class Evidence:
     """Of one server's process."""
 
--- a/cloverrouter/membership/releases.py
+++ b/cloverrouter/membership/releases.py
@@ -9,6 +9,10 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Hashable
+from typing import TypeVar
+
+Place = TypeVar("Place", bound=Hashable)
 
 # A cold server may be sent this part of the push it must not exceed, by the work that it has shown to do.
 # Over all proxies that is this part of the push, whatever their number; with the part that its stated share
@@ -22,6 +26,16 @@
 RELEASE_PART, RELEASE_MS = 0.25, 10_000.0
 
 
+def opened_ahead(known: set[Place], listed: set[Place], crowd: bool) -> set[Place]:
+    """The servers of a new list that are connected to before a request needs it: that tells whether anybody
+    is there, and costs them no more than their first request would.
+
+    Danger: of many proxies one connection each is a flood, at the very moment that a server starts. And what
+    a first list names has long been there.
+    """
+    return set() if crowd or not known else listed - known
+
+
 class Shown:
     """Work a millisecond that a server has done for this proxy of late: a rate that fades."""
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -44,6 +44,7 @@
     TimerFired,
     Why,
 )
+from cloverrouter.membership.releases import opened_ahead
 from cloverrouter.proxy.admission import Admission
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
@@ -508,11 +509,8 @@
                 self._addresses.pop(name, None)
         self._upstream.keep_only(set(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
-        # Danger: of many proxies one connection each is a flood, at the very moment that a host starts. And
-        # what a first list names has long been there.
-        if before and not crowded(self._settings):
-            for host in self._addresses.items() - before:
-                self._upstream.open_ahead(host)
+        for host in opened_ahead(before, set(self._addresses.items()), crowded(self._settings)):
+            self._upstream.open_ahead(host)
         # Danger: a send to a host that drains, still connecting now, could go out after the grace.
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -15,6 +15,7 @@
 import httptools
 
 from cloverrouter.interface import Outcome, Sign
+from cloverrouter.membership.evidence import Ends
 from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.proxy.config import Address
 from cloverrouter.proxy.messages import (
@@ -41,9 +42,6 @@
 # Idle connections are kept for this part of the time after which the host may close them: a request
 # written to one that the host is just closing ends as a reset, which may have run.
 IDLE_SHARE = 0.5
-# So many connections to a host, all that there are, that its side ends within so long: its process has ended.
-# Danger: on a day on which connections break one by one, two of two do within 50 ms ten times in 20 s.
-TOGETHER_S, TOGETHER = 0.01, 3
 # What a host sends behind an answer (a second copy, noise) may come in a read of its own. Nothing goes
 # out on a connection before that has had time to come, or it would be taken for the next answer.
 SETTLE_S = 0.005
@@ -430,7 +428,7 @@
         self.idle: list[Connection] = []
         self.ages = IdleAges(upstream.uses_seen)
         self.up: set[Connection] = set()
-        self._ended_s: list[float] = []  # when the host ended the last ones
+        self._ends = Ends()
 
     def ended(self, connection: Connection, by_us: bool) -> None:
         """A connection has ended; all at one moment tell that the host's process has."""
@@ -439,12 +437,7 @@
         self.up.discard(connection)
         if by_us:
             return
-        now_s = self.upstream.loop.time()
-        self._ended_s = [s for s in self._ended_s if s > now_s - TOGETHER_S]
-        self._ended_s.append(now_s)
-        # Danger: one that ends by itself, idle for long or broken under way, says nothing about the others.
-        if not self.up and len(self._ended_s) >= TOGETHER and self.upstream.uses(self):
-            self._ended_s.clear()
+        if self._ends.add(self.upstream.loop.time() * 1000, len(self.up)) and self.upstream.uses(self):
             self.upstream.on_sign(self.host[0], Sign.HUNG_UP)
 
     def put(self, connection: Connection) -> None:
--- a/tests/membership/test_evidence.py
+++ b/tests/membership/test_evidence.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
 import pytest
 
+from cloverrouter.decide import TRIAL_MS
 from cloverrouter.interface import (
     AttemptEnded,
     Belief,
@@ -32,12 +34,14 @@
     GAP_PER_PROXY_MS,
     LAPSE_MS,
     LONGEST_GAP_MS,
+    TOGETHER,
+    TOGETHER_MS,
     Evidence,
     Fleet,
 )
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import TOGETHER, TOGETHER_S, Upstream
+from cloverrouter.proxy.upstream import Upstream
 from tests.driver import SETTINGS, Driver, delta, endpoint, full
 from tests.test_upstream import FakeCall, until
 
@@ -53,6 +57,7 @@
     [
         ([], 0, UNKNOWN),
         ([(REFUSED, 90, 100)], 0, ABSENT),  # its machine says so, whoever else is heard
+        ([(REFUSED, 90, 100), (UNANSWERED, 95, 105)], 0, ABSENT),  # the weightier sign stands
         ([(UNANSWERED, 90, 100)], 50, UNKNOWN),  # nobody is heard since: our own network, perhaps
         ([(UNANSWERED, 90, 100)], 110, SUSPECT),
         ([(HUNG_UP, 100, 100)], 50, UNKNOWN),
@@ -188,6 +193,37 @@
     assert {only(driver, name).belief for name in ("s1", "s2", "s3")} == {UNKNOWN}
 
 
+def test_a_trial_has_a_little_time_to_connect_and_nobody_answers() -> None:
+    driver = Driver()
+    driver.serve(6)
+    driver.wait(10)
+    doubt(driver, "s1", SILENT)
+    assert only(driver, "s1").healthy  # one request alone leaves nobody out
+    doubt(driver, "s1", SILENT)
+    driver.balancer.membership.fleet.heard_ms = driver.now_ms + 1
+    driver.wait(2 * FIRST_GAP_MS)
+    (trial,) = driver.request("safe")[1]
+    assert isinstance(trial, Send) and trial.endpoint == "s1" and trial.fresh
+    assert trial.begin_within_ms == TRIAL_MS  # what is left of its time is for the way elsewhere
+    driver.wait(TRIAL_MS)
+    driver.tell(AttemptEnded(trial.request_id, 0, Outcome.NOT_SENT, TRIAL_MS))
+    assert only(driver, "s1").belief is ABSENT
+    assert only(driver, "s1").evidence.startswith("did not answer a connection")
+
+
+def test_a_crowd_tries_an_ended_server_by_the_credit_of_cold_ones_only() -> None:
+    settings = replace(SETTINGS, proxies=400)
+    for ends in (False, True):
+        driver = Driver(settings, endpoints=[endpoint(f"s{i}") for i in range(1, 4)])
+        driver.serve(6)
+        doubt(driver, "s1", HUNG_UP if ends else UNANSWERED)
+        driver.balancer.membership.endpoints["s1"].cold_credit = 0.0
+        driver.balancer.membership.endpoints["s1"].cold_credit_ms = driver.now_ms
+        driver.balancer.membership.fleet.heard_ms = driver.now_ms + 1
+        sent = [a for a in driver.request()[1] if isinstance(a, Send)]
+        assert any(a.endpoint == "s1" for a in sent) is not ends
+
+
 @pytest.mark.parametrize("answered_meanwhile", [False, True])
 def test_after_a_fault_of_our_own_network_one_answer_speaks_against_nobody(answered_meanwhile: bool) -> None:
     driver = Driver(endpoints=[endpoint(f"s{i}") for i in range(1, 6)])
@@ -206,6 +242,24 @@
     assert beliefs == ({SUSPECT} if answered_meanwhile else {PRESENT})
 
 
+def test_one_that_falls_silent_beside_others_is_not_excused_with_them() -> None:
+    """Two are known to be gone; that a third is, since the last answer, is no fault of the network."""
+    driver = Driver(endpoints=[endpoint(f"s{i}") for i in range(1, 6)])
+    driver.serve(12)
+    fleet = driver.balancer.membership.fleet
+    for name in ("s1", "s2"):
+        doubt(driver, name, UNANSWERED)
+        driver.wait(10)
+        fleet.heard_ms = driver.now_ms
+    driver.wait(10)
+    doubt(driver, "s3", UNANSWERED)
+    driver.wait(10)
+    while driver.sent[(back := driver.request("unsafe")[0])][0] not in ("s4", "s5"):
+        pass
+    driver.end(back, Outcome.OK, 10)
+    assert {only(driver, name).belief for name in ("s1", "s2", "s3")} == {SUSPECT}
+
+
 def test_a_server_that_ended_unheard_of_comes_back_cold() -> None:
     driver = Driver()
     driver.serve(6)
@@ -262,6 +316,14 @@
     asyncio.run(scene())
 
 
+async def sent(upstream: Upstream, name: Any, count: int, on_open: Callable[[], None] | None = None) -> None:
+    """So many attempts at once, and their ends."""
+    ends: list[Outcome] = []
+    for _ in range(count):
+        upstream.send(name, FakeCall(), 2000, lambda outcome, _: ends.append(outcome), None, on_open)
+    await until(lambda: len(ends) == count)
+
+
 def test_a_trial_goes_out_on_a_new_connection_and_tells_when_it_is_up() -> None:
     async def scene() -> None:
         host = await Host("h").start()
@@ -269,9 +331,7 @@
         upstream.keep_only({name})
         opened: list[int] = []
         for on_open in (None, None, lambda: opened.append(len(host.seen))):
-            ends: list[Outcome] = []
-            upstream.send(name, FakeCall(), 2000, lambda outcome, _, e=ends: e.append(outcome), None, on_open)  # type: ignore[misc]
-            await until(lambda e=ends: e)  # type: ignore[misc]
+            await sent(upstream, name, 1, on_open)
             await asyncio.sleep(0.02)
         assert opened == [2]  # before the host had seen the request
         assert len({seen.connection for seen in host.seen}) == 2
@@ -296,18 +356,16 @@
         upstream.on_sign = lambda who, sign: signs.append((who, sign))
         for end_all in (False, True):
             upstream.keep_only({name})
-            ends: list[Outcome] = []
-            for _ in range(count):
-                upstream.send(name, FakeCall(), 2000, lambda outcome, _, e=ends: e.append(outcome))  # type: ignore[misc]
-            await until(lambda e=ends: len(e) == count)  # type: ignore[misc]
+            await sent(upstream, name, count)
             assert not signs
             for writer in writers[-count:] if end_all else writers[-count:][1:]:
                 writer.transport.abort()
-            await asyncio.sleep(2 * TOGETHER_S)
+            await asyncio.sleep(2 * TOGETHER_MS / 1000)
             if not end_all:
                 assert not signs
-                upstream.keep_only(set())  # ended from this side: that tells nothing
-                await asyncio.sleep(2 * TOGETHER_S)
+                for connection in list(upstream.connections):
+                    connection.abort()  # ended from this side: that tells nothing
+                await asyncio.sleep(2 * TOGETHER_MS / 1000)
                 assert not signs
         assert signs == ([("h", HUNG_UP)] if count >= TOGETHER else [])  # fewer may end by themselves
 
--- a/tests/membership/test_idling.py
+++ b/tests/membership/test_idling.py
@@ -42,6 +42,23 @@
     assert limits.count(NEVER) >= 19
 
 
+def test_breaks_that_cost_less_than_new_connections_change_nothing() -> None:
+    """Certain, and small: a tenth more beyond an age than below it."""
+    ages, random = IdleAges(Uses()), Random(1)
+    for i in range(20_000):
+        idle_s = random.uniform(0, 2.0)
+        ages.used(idle_s, random.random() < (0.12 if idle_s >= 0.4 else 0.02), i * 0.0001)
+    assert ages.limit_s == NEVER
+
+
+def test_uses_fade_as_breaks_do() -> None:
+    uses = Uses()
+    for _ in range(10):
+        uses.add(0.5, True, 0.0)
+    uses.add(0.0, False, HALF_S)
+    assert sum(uses.breaks) == pytest.approx(5) and sum(uses.uses) == pytest.approx(6)
+
+
 def test_a_few_breaks_are_chance() -> None:
     ages = IdleAges(Uses())
     for i, idle_s in enumerate([0.01] * 20 + [1.0, 1.0]):
--- a/tests/membership/test_releases.py
+++ b/tests/membership/test_releases.py
@@ -82,6 +82,24 @@
     assert busy > 35 and idle < 10
 
 
+@pytest.mark.parametrize("warm_left", [False, True])
+def test_what_a_warm_server_got_does_not_fade_while_none_is_left(warm_left: bool) -> None:
+    settings = Settings((SAFE,), safety=Safety(0.3, 5_000, 3, 2000))
+    driver = Driver(settings, [endpoint("old")])
+    driver.serve(40)
+    balancer = driver.balancer
+    before = balancer._warm_rate()
+    left = [endpoint("old")] if warm_left else []
+    for _ in range(20):  # each a server that began just now, and does nothing
+        driver.wait(200)
+        driver.tell(full(*left, endpoint("new", started_ms=driver.now_ms)))
+        balancer.release = Release()
+        balancer._roomy()
+        now = balancer._warm_rate()
+    assert before > 0
+    assert (now < 0.7 * before) is warm_left
+
+
 def test_the_log_tells_once_that_the_fleet_is_being_replaced() -> None:
     driver = Driver()
     said = []
--- a/tests/membership/test_watching.py
+++ b/tests/membership/test_watching.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 from random import Random
 
 import pytest
 
 from cloverrouter.interface import EndpointState, ListedEndpoint
+from cloverrouter.lab.peers import Discovery, ok
 from cloverrouter.membership.watching import (
     GRACE_LEAST_S,
     GRACE_MOST_S,
@@ -15,7 +18,9 @@
     Ledger,
     reconnect_ms,
 )
-from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
+from cloverrouter.proxy.discovery import Watch
+from tests.test_upstream import until
 
 READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE
 
@@ -39,6 +44,11 @@
     asked = asking.question()
     asking.answered(asked, 2.9, 2, True)  # it waited for news: that is not late
     assert asking.grace_s == GRACE_LEAST_S
+    for _ in range(
+        50
+    ):  # nor are fifty that came before the wait was over, of a service that is slow to end one
+        slow.answered(slow.question(), 1.0, 2, True)
+    assert slow.grace_s > 0.6
 
 
 def test_while_it_is_lost_nothing_waits_and_the_patience_grows() -> None:
@@ -105,6 +115,28 @@
     assert states(ledger.take(old)) == {"a": READY, "b": READY}
 
 
+def test_the_watch_goes_by_the_ledger() -> None:
+    async def scene() -> None:
+        discovery = await Discovery().start()
+        listed = {"id": "a", "addr": "127.0.0.1:9", "state": "active"}
+        discovery.broken = [
+            ok(
+                json.dumps(
+                    {"version": version, "full": full, "servers": [{**listed, "state": state}]}
+                ).encode()
+            )
+            for version, full, state in ((5, True, "active"), (6, False, "leaving"), (2, True, "active"))
+        ]
+        lists: list[HostList] = []
+        watch = Watch(("127.0.0.1", discovery.port), UnixClock(), True, lists.append, lambda: None)
+        watch.start()
+        await until(lambda: len(lists) >= 3)
+        watch.stop()
+        assert [states(found)["a"] for found in lists[:3]] == [READY, DRAINING, DRAINING]
+
+    asyncio.run(scene())
+
+
 def test_a_new_process_is_not_held_out_for_the_old_one() -> None:
     ledger = Ledger()
     ledger.take(full(5, entry("a", started_ms=1.0)))
