Tests of the last guards: ends from this side, resets as a connection comes up, releases

Four guards of the second look that could be taken out unnoticed: how many ends make a process's, ends from this side, a reset while connecting, and what a warm server got through a release. All are caught now.

--- a/tests/membership/test_evidence.py
+++ b/tests/membership/test_evidence.py
@@ -36,6 +36,7 @@
     LONGEST_GAP_MS,
     TOGETHER,
     TOGETHER_MS,
+    Ends,
     Evidence,
     Fleet,
 )
@@ -89,6 +90,22 @@
     assert evidence.belief(260.0) is PRESENT
 
 
+@pytest.mark.parametrize(
+    ("ends", "ended"),
+    [
+        ([(0, 2), (1, 1), (2, 0)], True),
+        ([(0, 1), (1, 0)], False),  # two may end by themselves
+        ([(0, 3), (1, 2), (2, 1)], False),  # one is left: its process is there
+        ([(0, 2), (100, 1), (200, 0)], False),  # one by one
+    ],
+)
+def test_connections_that_end_at_one_moment_are_a_processs_end(
+    ends: list[tuple[float, int]], ended: bool
+) -> None:
+    together = Ends()
+    assert [together.add(now_ms, left) for now_ms, left in ends][-1] is ended
+
+
 def test_a_doubt_lapses_only_where_discovery_goes_on_listing_it() -> None:
     fleet = Fleet(heard_ms=200.0)
     evidence = Evidence(fleet)
@@ -316,6 +333,23 @@
     asyncio.run(scene())
 
 
+def test_a_connection_that_is_reset_as_it_comes_up_is_no_sign(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async def broken(sock: socket.socket, address: object) -> None:
+            raise ConnectionResetError
+
+        upstream = Upstream(8, 60_000, 1000)
+        monkeypatch.setattr(upstream.loop, "sock_connect", broken)
+        ends: list[Outcome] = []
+        exchange = upstream.send(
+            ("h", ("127.0.0.1", 9)), FakeCall(), 2000, lambda outcome, _: ends.append(outcome)
+        )
+        await until(lambda: ends)
+        assert ends == [Outcome.CONNECT_FAILED] and exchange.sign is None
+
+    asyncio.run(scene())
+
+
 async def sent(upstream: Upstream, name: Any, count: int, on_open: Callable[[], None] | None = None) -> None:
     """So many attempts at once, and their ends."""
     ends: list[Outcome] = []
@@ -354,19 +388,19 @@
         upstream, name = Upstream(8, 60_000, 1000), ("h", ("127.0.0.1", host.port))
         signs: list[tuple[str, Sign]] = []
         upstream.on_sign = lambda who, sign: signs.append((who, sign))
-        for end_all in (False, True):
+        for ended_by in ("host, all but one", "us", "host"):
             upstream.keep_only({name})
             await sent(upstream, name, count)
-            assert not signs
-            for writer in writers[-count:] if end_all else writers[-count:][1:]:
-                writer.transport.abort()
-            await asyncio.sleep(2 * TOGETHER_MS / 1000)
-            if not end_all:
-                assert not signs
+            if ended_by == "us":
                 for connection in list(upstream.connections):
-                    connection.abort()  # ended from this side: that tells nothing
-                await asyncio.sleep(2 * TOGETHER_MS / 1000)
-                assert not signs
+                    connection.abort()
+            else:
+                for writer in writers[-count:][1 if ended_by != "host" else 0 :]:
+                    writer.transport.abort()
+            await asyncio.sleep(2 * TOGETHER_MS / 1000)
+            assert ended_by == "host" or not signs
+            upstream.keep_only(set())
+            await asyncio.sleep(2 * TOGETHER_MS / 1000)
         assert signs == ([("h", HUNG_UP)] if count >= TOGETHER else [])  # fewer may end by themselves
 
     asyncio.run(scene())
--- a/tests/membership/test_releases.py
+++ b/tests/membership/test_releases.py
@@ -82,8 +82,9 @@
     assert busy > 35 and idle < 10
 
 
-@pytest.mark.parametrize("warm_left", [False, True])
-def test_what_a_warm_server_got_does_not_fade_while_none_is_left(warm_left: bool) -> None:
+@pytest.mark.parametrize(("warm_left", "releasing"), [(False, False), (True, False), (True, True)])
+def test_what_a_warm_server_got_does_not_fade_in_a_release(warm_left: bool, releasing: bool) -> None:
+    """Nor where no warm one is left, whether that is known for a release or not."""
     settings = Settings((SAFE,), safety=Safety(0.3, 5_000, 3, 2000))
     driver = Driver(settings, [endpoint("old")])
     driver.serve(40)
@@ -94,10 +95,12 @@
         driver.wait(200)
         driver.tell(full(*left, endpoint("new", started_ms=driver.now_ms)))
         balancer.release = Release()
+        if releasing:
+            balancer.release.told(driver.now_ms, 1, 1, 2)
         balancer._roomy()
         now = balancer._warm_rate()
     assert before > 0
-    assert (now < 0.7 * before) is warm_left
+    assert (now < 0.7 * before) is (warm_left and not releasing)
 
 
 def test_the_log_tells_once_that_the_fleet_is_being_replaced() -> None:
