--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -218,6 +218,9 @@
         self._carry_out(self.pair.heard(now_ms(), self._shape.peer, heard))
 
     def _carry_out(self, out: list[Out]) -> None:
+        # Danger: once a release is on its way, the other box may take. Looked at after the sending, a pause
+        # in between would have the log say that both took at once.
+        self._look()
         for action in out:
             if isinstance(action, Became):
                 self.transitions[f"{action.before.value} to {action.after.value}"] += 1
@@ -232,7 +235,6 @@
                 self.post.send(action.target, Kind.ADVERTISEMENT, data)
             else:
                 self.post.send(action.target, *encode_lease(action.message))
-        self._look()
         self._schedule()
 
     def _look(self) -> None:
--- a/tests/lab/test_monitors.py
+++ b/tests/lab/test_monitors.py
@@ -184,33 +184,36 @@
     patch.setattr(servers.Server, "_end", end)
 
 
-BUGS: list[tuple[Bug, str]] = [
-    (unsafe_is_repeated, "rule 2"),
-    (refused_though_it_may_have_run, "rule 2"),
-    (keyed_goes_anywhere, "rule 2"),
-    (windows_never_end, "rule 2"),
-    (cold_servers_get_all, "rule 4"),
-    (what_is_written_counts_as_never_run, "rule 2"),
-    (what_waits_to_go_out_is_not_called_off, "rule 1"),
-    (lists_are_told_late, "rule 3"),
-    (the_clients_time_is_not_heeded, "rule 1"),
-    (keys_are_forgotten, "rule 2"),
-    (turned_away_though_it_ran, "rule 2"),
+# Each bug, the rule it breaks, and where to begin the search: a bug that rarely shows would take long.
+BUGS: list[tuple[Bug, str, int]] = [
+    (unsafe_is_repeated, "rule 2", 0),
+    (refused_though_it_may_have_run, "rule 2", 0),
+    (keyed_goes_anywhere, "rule 2", 0),
+    (windows_never_end, "rule 2", 20),
+    (cold_servers_get_all, "rule 4", 104),
+    (what_is_written_counts_as_never_run, "rule 2", 0),
+    (what_waits_to_go_out_is_not_called_off, "rule 1", 190),
+    (lists_are_told_late, "rule 3", 0),
+    (the_clients_time_is_not_heeded, "rule 1", 15),
+    (keys_are_forgotten, "rule 2", 0),
+    (turned_away_though_it_ran, "rule 2", 0),
 ]
 SCENARIOS = 200
 
 
-def first_broken() -> tuple[int, str]:
-    """The first of the random scenarios that breaks a rule, and which."""
-    for seed in range(SCENARIOS):
+def first_broken(begin: int) -> tuple[int, str]:
+    """The first of the random scenarios, from `begin` round to it again, that breaks a rule, and which."""
+    for seed in (*range(begin, SCENARIOS), *range(begin)):
         result = simulate(random_scenario(seed), seed)
         if result.broken:
             return seed, rule_of(result)
     return -1, ""
 
 
-@pytest.mark.parametrize(("bug", "rule"), BUGS, ids=[bug.__name__ for bug, _ in BUGS])
-def test_a_bug_put_in_on_purpose_is_found(bug: Bug, rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize(("bug", "rule", "begin"), BUGS, ids=[bug.__name__ for bug, *_ in BUGS])
+def test_a_bug_put_in_on_purpose_is_found(
+    bug: Bug, rule: str, begin: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     bug(monkeypatch)
-    seed, found = first_broken()
+    seed, found = first_broken(begin)
     assert found == rule, seed
