--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -28,6 +28,7 @@
 from cloverrouter.site import Site, SiteError, check
 
 if TYPE_CHECKING:
+    from cloverrouter.http3.front import Front as Http3Front
     from cloverrouter.vrrp.shell import Box
     from cloverrouter.vrrp.tracking import Fault
 
@@ -42,7 +43,7 @@
 
 def descriptors(site: Site) -> int:
     """How many descriptors the appliance may hold, which requests then can't."""
-    return (site.control.clients + 4 if site.control.enabled else 0) + (1 if site.vrrp.enabled else 0)
+    return (site.control.clients + 4 if site.control.enabled else 0) + site.vrrp.enabled + site.http3.enabled
 
 
 class Alarms:
@@ -71,6 +72,7 @@
         self._server: Server | None = None
         self._box: Box | None = None
         self._frontend: Frontend | None = None
+        self._http3: Http3Front | None = None
         self._tick: asyncio.TimerHandle | None = None
         self._events = Events(_now_ms)
         folder = None
@@ -95,10 +97,45 @@
         if self._site.vrrp.enabled:
             self._box = await self._pair(frontend)
             self._frontend = frontend
+        if self._site.http3.enabled:
+            self._http3 = await self._open_http3(frontend)
         self._open_control(frontend)
+        if self._http3 is not None:
+            self._http3.observer = frontend.observer
         if self._book is not None or self._box is not None:
             self._on_tick()
 
+    async def _open_http3(self, frontend: Frontend) -> Http3Front:
+        # Imported here: a box that does not speak it loads nothing of it.
+        try:
+            from cloverrouter.http3.front import Front
+        except ImportError as error:
+            raise StartError(f"[http3] needs what requirements-http3.txt names: {error}") from error
+
+        told, gate = self._site.http3, frontend.gate
+        try:
+            front = Front(gate, frontend.keeping, (told.certificate, told.key), told.connections)
+            _, port = await front.listen(read_address(told.listen))
+        except (OSError, ValueError) as error:
+            raise StartError(f"[http3]: {error}") from error
+        if told.alt_svc:
+            gate.alt_svc = b'Alt-Svc: h3=":%d"; ma=%d\r\n' % (port, told.alt_svc_s)
+        log.info("http3: listens at %s", told.listen)
+        return front
+
+    def reload(self) -> None:
+        """SIGHUP: files that the operators may have replaced are read again; bad ones change nothing."""
+        if self._http3 is None:
+            return
+        try:
+            self._http3.recertify()
+        except (OSError, ValueError) as error:
+            log.error("http3: certificate and key not reread: %s", error)
+            self._alarms.set("http3", f"[http3]: certificate and key not reread: {error}")
+        else:
+            self._alarms.set("http3", None)
+            self._event("http3", {"text": "certificate and key reread"})
+
     def _open_control(self, frontend: Frontend) -> None:
         settings = self._told.settings
         if not self._site.control.enabled:
@@ -114,7 +151,7 @@
             self._node.view,
             self._roster,
             condition,
-            lambda: frontend.count,
+            lambda: frontend.count + (0 if self._http3 is None else self._http3.open),
             lambda: frontend.gate.stopping,
             self._alarms.texts,
             lambda: None if self._box is None else self._box.role(),
@@ -150,6 +187,8 @@
             frontend.gate.refusing = not taking
             if not taking:
                 frontend.close_idle()  # clients look for the box that takes
+                if self._http3 is not None:
+                    self._http3.leave(final=True)
 
         frontend.gate.refusing = True
         vrrp = self._site.vrrp
@@ -176,6 +215,13 @@
         """The proxy is about to end: the other box of a pair may take from here on."""
         if self._box is not None:
             self._box.hand_over()
+        if self._http3 is not None:
+            self._http3.leave(final=False)
+
+    def stop_taking(self) -> None:
+        """From here on what comes is turned away by every front."""
+        if self._http3 is not None:
+            self._http3.leave(final=True)
 
     def _roster(self) -> list[Listed]:
         overlay = self.keeper.overlay
@@ -199,6 +245,8 @@
             self._tick.cancel()
         if self._box is not None:
             self._box.close()
+        if self._http3 is not None:
+            await self._http3.close()
         if self._server is not None:
             self._server.close()
         await self.keeper.close()
--- /dev/null
+++ b/cloverrouter/lab/quic.py
@@ -0,0 +1,225 @@
+"""A scripted HTTP/3 client on loopback, on either of two QUIC libraries: it does and says exactly what a test
+tells it, also what no honest client would."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import socket
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+from cloverrouter.lab.process import LONG_S
+
+Address = tuple[str, int]
+LIBRARIES = ("qh3", "aioquic")
+
+
+def library(name: str) -> SimpleNamespace:
+    """The parts of a library that are used here; both have them under the same names."""
+
+    def part(path: str) -> Any:
+        return importlib.import_module(f"{name}.{path}")
+
+    return SimpleNamespace(
+        Settings=part("quic.configuration").QuicConfiguration,
+        Connection=part("quic.connection").QuicConnection,
+        Http=part("h3.connection").H3Connection,
+        quic=part("quic.events"),
+        h3=part("h3.events"),
+    )
+
+
+@dataclass
+class Reply:
+    """What has come on one stream."""
+
+    fields: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    ended: bool = False
+    reset: int | None = None  # the code that the other side ended it with
+
+    @property
+    def status(self) -> int:
+        return int(self.fields.get(b":status", b"0"))
+
+
+class QuicClient(asyncio.DatagramProtocol):
+    """One connection. `authority`: the file of the certificate that signs its server's."""
+
+    def __init__(self, address: Address, authority: Path, name: str = "qh3", **settings: Any) -> None:
+        self.library = library(name)
+        told = self.library.Settings(
+            is_client=True,
+            alpn_protocols=["h3"],
+            server_name="localhost",
+            max_datagram_frame_size=65536,
+            **settings,
+        )
+        told.load_verify_locations(str(authority))
+        self.quic = self.library.Connection(configuration=told)
+        self.http: Any = None
+        self.replies: dict[int, Reply] = {}
+        self.away: list[int] = []  # what GOAWAY said
+        self.over: Any = None  # how the connection ended
+        self.reading = True  # if not, what comes is left to lie
+        self._address = address
+        self._changed = asyncio.Event()
+        self._up = False
+        self._timer: asyncio.TimerHandle | None = None
+        self.transport: asyncio.DatagramTransport | None = None
+        self._count = 0
+
+    async def open(self) -> QuicClient:
+        """Raises ConnectionError if the server turns it away, TimeoutError if it says nothing."""
+        await self.bind()
+        self.quic.connect(self._address, now=time.monotonic())
+        self.http = self.library.Http(self.quic)
+        self.flush()
+        await self.until(lambda: self._up or self.over is not None)
+        if self.over is not None:
+            raise ConnectionError(str(self.over))
+        return self
+
+    async def bind(self, host: str = "127.0.0.1") -> None:
+        """A socket; another one than before is a path of its own (RFC 9000, 9)."""
+        old = self.transport
+        family = socket.AF_INET6 if ":" in self._address[0] else socket.AF_INET
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host if family == socket.AF_INET else "::1", 0)
+        )
+        self.transport = transport
+        if old is not None:
+            old.close()
+
+    async def until(self, condition: Any, seconds: float = LONG_S) -> None:
+        async with asyncio.timeout(seconds):
+            while not condition():
+                self._changed.clear()
+                await self._changed.wait()
+
+    # Requests and answers
+
+    def fields(self, target: str, **extra: str) -> list[tuple[bytes, bytes]]:
+        """A valid request's; `extra` by names with underscores, an empty value takes one out."""
+        self._count += 1
+        name = f"{id(self):x}-{self._count}"
+        told = {
+            ":method": "GET" if target.startswith("/safe") else "POST",
+            ":scheme": "https",
+            ":authority": "localhost",
+            ":path": target,
+            "x-request-id": name,
+            "x-timeout-ms": "2500",
+        }
+        if target.startswith("/keyed"):
+            told["idempotency-key"] = f"k{name}"
+        for key, value in extra.items():
+            told[key.replace("_", "-")] = value
+        return [(key.encode(), value.encode()) for key, value in told.items() if value]
+
+    def send(self, target: str, body: bytes = b"", end: bool = True, **extra: str) -> int:
+        return self.send_fields(self.fields(target, **extra), body, end)
+
+    def send_fields(self, fields: list[tuple[bytes, bytes]], body: bytes = b"", end: bool = True) -> int:
+        number = int(self.quic.get_next_available_stream_id())
+        self.replies[number] = Reply()
+        self.http.send_headers(number, fields, end and not body)
+        if body:
+            self.http.send_data(number, body, end)
+        self.flush()
+        return number
+
+    def more(self, number: int, body: bytes, end: bool = False) -> None:
+        self.http.send_data(number, body, end)
+        self.flush()
+
+    def cancel(self, number: int, code: int = 0x10C) -> None:
+        """H3_REQUEST_CANCELLED, in both directions."""
+        if not getattr(self.quic, "_stream_can_send", lambda n: True)(number):
+            pass
+        else:
+            self.quic.reset_stream(number, code)
+        self.quic.stop_stream(number, code)
+        self.flush()
+
+    async def reply(self, number: int, seconds: float = LONG_S) -> Reply:
+        found = self.replies[number]
+        await self.until(lambda: found.ended or found.reset is not None or self.over is not None, seconds)
+        return found
+
+    async def ask(self, target: str, body: bytes = b"", **extra: str) -> Reply:
+        return await self.reply(self.send_fields(self.fields(target, **extra), body))
+
+    def close(self) -> None:
+        if self.over is None:
+            self.quic.close()
+            self.flush()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+
+    def vanish(self) -> None:
+        """Its machine is gone: nothing more is sent, not even an end."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
+
+    # Datagrams
+
+    def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+        if self.reading:
+            self.quic.receive_datagram(data, self._address, now=time.monotonic())
+            self._happened()
+            self.flush()
+
+    def flush(self) -> None:
+        now_s = time.monotonic()
+        for data, _ in self.quic.datagrams_to_send(now=now_s):
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.sendto(data, self._address)
+        if self._timer is not None:
+            self._timer.cancel()
+        due_s = self.quic.get_timer()
+        if due_s is not None and self.over is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, due_s - now_s) + 0.001, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.quic.handle_timer(now=time.monotonic())
+        self._happened()
+        self.flush()
+
+    def _happened(self) -> None:
+        while (event := self.quic.next_event()) is not None:
+            if isinstance(event, self.library.quic.HandshakeCompleted):
+                self._up = True
+            elif isinstance(event, self.library.quic.ConnectionTerminated):
+                self.over = event
+            elif isinstance(event, self.library.quic.StreamReset) and event.stream_id in self.replies:
+                self.replies[event.stream_id].reset = event.error_code
+            if self.http is not None:
+                for told in self.http.handle_event(event):
+                    self._said(told)
+        # Its side knows of the end before the wait that follows it is over.
+        self.over = self.over or getattr(self.quic, "_close_event", None)
+        self._changed.set()
+
+    def _said(self, told: Any) -> None:
+        h3 = self.library.h3
+        if isinstance(told, h3.HeadersReceived):
+            reply = self.replies[told.stream_id]
+            reply.fields.update(told.headers)
+            reply.ended = told.stream_ended
+        elif isinstance(told, h3.DataReceived):
+            reply = self.replies[told.stream_id]
+            reply.body += told.data
+            reply.ended = told.stream_ended
+        elif type(told).__name__ == "GoawayReceived":
+            self.away.append(told.stream_id)
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -342,7 +342,7 @@
             self._answer_early(status, headers)
             return
         close = self._closing(call)
-        self._transport.write(encode(status, body, headers, close))
+        self._transport.write(encode(status, body, headers + self._gate.alt_svc, close))
         self._answered(close)
 
     def _closing(self, call: ClientCall) -> bool:
@@ -379,6 +379,7 @@
         chunked = answer.length is None and not call.old
         close = self._closing(call) or (answer.length is None and call.old)
         kind = b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
+        kind += self._gate.alt_svc
         framing = b"Transfer-Encoding: chunked\r\n" if chunked else b""
         if answer.length is not None:
             framing = b"Content-Length: %d\r\n" % answer.length
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -25,6 +25,7 @@
 from cloverrouter.proxy.validity import Gate
 
 if TYPE_CHECKING:
+    from cloverrouter.compose import Appliance
     from cloverrouter.site import Site
 
 # After SIGTERM connections go on coming for a while: until then they are taken and served.
@@ -63,6 +64,8 @@
     def reload() -> None:
         """Danger: a bad file must not cost what works; whatever is wrong with it, the watch goes on."""
         nonlocal told
+        if appliance is not None:
+            appliance.reload()
         try:
             new = config.reload(os.environ, told)
         except Exception as error:
@@ -155,7 +158,7 @@
     if appliance is not None:
         appliance.leave()
     if not crashes:
-        await drain(frontend, node, told.inherited is not None)
+        await drain(frontend, node, told.inherited is not None, appliance)
     watch.stop()
     if management is not None:
         management.close()
@@ -167,7 +170,7 @@
     return 0
 
 
-async def drain(frontend: Frontend, node: Node, succeeded: bool) -> None:
+async def drain(frontend: Frontend, node: Node, succeeded: bool, appliance: Appliance | None) -> None:
     """Leave without losing what was taken. Every call has a deadline, so this ends.
 
     `succeeded`: another process takes connections from the same listening socket.
@@ -181,6 +184,8 @@
         frontend.close_idle()
     await asyncio.sleep(STILL_ACCEPTING_S)
     frontend.close()
+    if appliance is not None:
+        appliance.stop_taking()
     loop = asyncio.get_running_loop()
     owed_s = loop.time()
     # Danger: a client that neither finishes its request nor reads would keep the program from ending.
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -135,6 +135,7 @@
         self.waiting_ids: set[bytes] = set()  # of calls that are valid and not handed over yet
         self.stopping = False  # the proxy leaves: answers end their connections
         self.refusing = False  # nothing is taken for now: the same, clients are to move
+        self.alt_svc = b""  # the field that tells of another protocol (RFC 7838), in HTTP/1.1's form
 
     def reclass(self, classes: Mapping[str, Idempotency]) -> None:
         """These classes hold from now on. Clients hear of them a little later than we do."""
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -79,10 +79,23 @@
     secret_file: Annotated[str, Meta(max_length=4096, description="a file's absolute path, or empty")] = ""
 
 
+class Http3(Struct, frozen=True):
+    """`[http3]`: clients may also come by HTTP/3 over QUIC."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    listen: Annotated[str, Meta(description="an address such as 10.0.0.1:443, for UDP")] = "127.0.0.1:8443"
+    certificate: Annotated[str, Meta(max_length=4096, description="a PEM file's absolute path")] = ""
+    key: Annotated[str, Meta(max_length=4096, description="a PEM file's absolute path")] = ""
+    connections: Annotated[int, Meta(ge=1, le=10_000, description="a whole number from 1 to 10000")] = 200
+    alt_svc: Annotated[bool, Meta(description="true or false")] = False
+    alt_svc_s: Annotated[int, Meta(ge=1, le=604_800, description="seconds from 1 to 604800")] = 3600
+
+
 class Site(Struct, frozen=True):
     control: Control = Control()
     state: State = State()
     vrrp: Vrrp = Vrrp()
+    http3: Http3 = Http3()
 
 
 class SiteError(FileError):
@@ -111,6 +124,7 @@
             right = "must be an absolute path: the program may be started anywhere"
             faults.append(Fault(f"{name}.directory", f"is {folder!r}", right))
     faults += _vrrp_faults(site.vrrp)
+    faults += _http3_faults(site.http3)
     if len(os.fsencode(site.control.socket)) > MOST_PATH:
         text = f"is too long: the socket's path would have {len(os.fsencode(site.control.socket))} bytes"
         faults.append(Fault("control.directory", text, f"at most {MOST_PATH} with /{SOCKET}"))
@@ -149,6 +163,18 @@
     return faults
 
 
+def _http3_faults(http3: Http3) -> list[Fault]:
+    faults = []
+    if not _is_address(http3.listen, port=True):
+        right = "must be an address and a port, such as 10.0.0.1:443; there are no look-ups"
+        faults.append(Fault("http3.listen", f"is {http3.listen!r}", right))
+    for name in ("certificate", "key") if http3.enabled else ():
+        if not getattr(http3, name).startswith("/"):
+            right = "must be an absolute path: HTTP/3 can't be spoken without"
+            faults.append(Fault(f"http3.{name}", f"is {getattr(http3, name)!r}", right))
+    return faults
+
+
 def secret_of(vrrp: Vrrp) -> bytes | None:
     """The pair's secret, the line feed at its end left out. Raises OSError, ValueError if it is too short."""
     if not vrrp.secret_file:
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -11,8 +11,11 @@
 
 DIRECTIONS = (
     "site", "roster", "control", "console", "demo", "vrrp", "compose", "seams", "cli", "lab", "strict",
+    "http3",
+)  # fmt: skip
+LIBRARIES = (
+    "msgspec", "tomllib", "curses", "numpy", "hdrh", "matplotlib", "aioquic", "cryptography", "pylsqpack",
 )  # fmt: skip
-LIBRARIES = ("msgspec", "tomllib", "curses", "numpy", "hdrh", "matplotlib")
 
 
 def modules(log: str) -> set[str]:
