--- /dev/null
+++ b/benchmarks/http3.py
@@ -0,0 +1,226 @@
+"""What HTTP/3 costs beside HTTP/1.1: in the libraries alone, and in the proxy.
+
+    python -m benchmarks.http3 [libraries] [cost] [--requests 6000]
+
+`libraries`: both QUIC libraries in memory, no socket, the answer made at once: CPU of the server's side.
+`cost`: CPU time and memory of the proxy's process before eight stand-in servers, by protocol and connections.
+All of one call on one machine; only ratios within it are to be compared.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import os
+import resource
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from cloverrouter.lab.certificates import Authority
+from cloverrouter.lab.peers import Client, Proxy
+from cloverrouter.lab.quic import LIBRARIES, QuicClient, library
+from tests.http3.test_proxy import Both, both
+
+ROOM = {"cores": 1.0, "memory_mb": 1024, "sockets": 16_000}
+TICKS = os.sysconf("SC_CLK_TCK")
+ANSWER = [(b":status", b"200"), (b"content-type", b"application/json"), (b"content-length", b"200")]
+
+
+# The libraries alone
+
+
+class Memory:
+    """A client's and a server's connection that hand their datagrams to each other."""
+
+    def __init__(self, name: str, authority: Path, files: tuple[str, str]) -> None:
+        self.parts = library(name)
+        told = {"alpn_protocols": ["h3"], "max_datagram_frame_size": 65536}
+        own = self.parts.Settings(is_client=True, server_name="localhost", **told)
+        own.load_verify_locations(str(authority))
+        self._server = self.parts.Settings(is_client=False, **told)
+        self._server.load_cert_chain(*files)
+        self.client = self.parts.Connection(configuration=own)
+        self.client.connect(("127.0.0.2", 2), now=time.monotonic())
+        self.http = self.parts.Http(self.client)
+        self.server: Any = None
+        self.served: Any = None
+        self.cpu_s = 0.0  # of the server's side
+        self.done = self.asked = 0
+
+    def step(self) -> None:
+        for data, _ in self.client.datagrams_to_send(now=time.monotonic()):
+            begun = time.process_time()
+            if self.server is None:
+                self.server = self.parts.Connection(
+                    configuration=self._server,
+                    original_destination_connection_id=self.client.original_destination_connection_id,
+                )
+            self.server.receive_datagram(data, ("127.0.0.1", 1), now=time.monotonic())
+            self._serve()
+            self.cpu_s += time.process_time() - begun
+        begun = time.process_time()
+        out = self.server.datagrams_to_send(now=time.monotonic())
+        self.cpu_s += time.process_time() - begun
+        for data, _ in out:
+            self.client.receive_datagram(data, ("127.0.0.2", 2), now=time.monotonic())
+            while (event := self.client.next_event()) is not None:
+                for told in self.http.handle_event(event):
+                    self.done += bool(getattr(told, "stream_ended", False))
+        for side in (self.client, self.server):
+            due_s = side.get_timer()
+            if due_s is not None and due_s <= time.monotonic():
+                side.handle_timer(now=time.monotonic())
+
+    def _serve(self) -> None:
+        while (event := self.server.next_event()) is not None:
+            if self.served is None and isinstance(event, self.parts.quic.ProtocolNegotiated):
+                self.served = self.parts.Http(self.server)
+            for told in self.served.handle_event(event) if self.served is not None else ():
+                if getattr(told, "stream_ended", False):
+                    self.served.send_headers(told.stream_id, ANSWER)
+                    self.served.send_data(told.stream_id, b"y" * 200, True)
+
+    def ask(self) -> None:
+        self.asked += 1
+        number = self.client.get_next_available_stream_id()
+        told = {
+            ":method": "POST", ":scheme": "https", ":authority": "x", ":path": "/unsafe?obj=12",
+            "x-request-id": f"r{number}", "x-timeout-ms": "2500",
+        }  # fmt: skip
+        self.http.send_headers(number, [(k.encode(), v.encode()) for k, v in told.items()])
+        self.http.send_data(number, b"x" * 100, True)
+
+
+def libraries(requests: int) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        authority = Authority(Path(folder))
+        files = authority.issue("localhost", "server")
+        for name in LIBRARIES:
+            pair = Memory(name, authority.file, files)
+            while pair.served is None:
+                pair.step()
+            print(f"{name}: handshake {pair.cpu_s * 1000:.1f} ms of the server's CPU")
+            for at_once in (1, 32):
+                pair.cpu_s, pair.done, pair.asked = 0.0, 0, 0
+                while pair.done < requests:
+                    while pair.asked - pair.done < at_once and pair.asked < requests:
+                        pair.ask()
+                    pair.step()
+                print(f"{name}: {at_once} at once: {pair.cpu_s / requests * 1e6:.0f} us a request")
+            before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            kept = []
+            for _ in range(200):
+                pair = Memory(name, authority.file, files)
+                while not pair.done:
+                    if pair.served is not None and not pair.asked:
+                        pair.ask()
+                    pair.step()
+                kept.append(pair)
+            grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
+            print(f"{name}: {grown / len(kept):.0f} KB a connection, both sides together")
+
+
+# The proxy
+
+
+def cpu_s(proxy: Proxy) -> float:
+    told = Path(f"/proc/{proxy.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(told[11]) + int(told[12])) / TICKS
+
+
+def rss_kb(proxy: Proxy) -> int:
+    lines = Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines()
+    return int(next(line for line in lines if line.startswith("VmRSS")).split()[1])
+
+
+async def one(b: Both, protocol: str, count: int, requests: int) -> None:
+    before_kb = rss_kb(b.proxy)
+    begun = cpu_s(b.proxy)
+    asks: list[Callable[[], Awaitable[int]]] = []
+    clients: list[Client | QuicClient] = []
+    at_once = asyncio.Semaphore(16)
+
+    async def connect() -> None:
+        async with at_once:
+            if protocol == "HTTP/3":
+                http3 = await b.client("qh3")
+                clients.append(http3)
+
+                async def by3() -> int:
+                    return (await http3.ask("/unsafe", b"x" * 100)).status
+
+                asks.append(by3)
+            else:
+                http1 = await b.proxy.client()
+                clients.append(http1)
+
+                async def by1() -> int:
+                    return (await http1.ask("/unsafe", body=b"x" * 100)).status
+
+                asks.append(by1)
+            await asks[-1]()  # one that is idle before its first request may have to make room
+
+    await asyncio.gather(*(connect() for _ in range(count)))
+    opened = cpu_s(b.proxy)
+    held_kb = rss_kb(b.proxy) - before_kb
+    left, answers = requests, Counter[int]()
+
+    async def work(ask: Callable[[], Awaitable[int]]) -> None:
+        nonlocal left
+        while left > 0:
+            left -= 1
+            answers[await ask()] += 1
+
+    gate = asyncio.Semaphore(64)
+
+    async def bounded(ask: Callable[[], Awaitable[int]]) -> None:
+        async with gate:
+            if count > 64:
+                for _ in range(max(1, requests // count)):
+                    answers[await ask()] += 1
+            else:
+                await work(ask)
+
+    begun_s = time.monotonic()
+    await asyncio.gather(*(bounded(ask) for ask in asks))
+    took_s = time.monotonic() - begun_s
+    done = sum(answers.values())
+    us = (cpu_s(b.proxy) - opened) / done * 1e6
+    print(
+        f"{protocol:9} {count:5} connections: {us:5.0f} us of CPU a request, {held_kb / count:6.1f} KB and "
+        f"{(opened - begun) / count * 1000:5.2f} ms of CPU a connection; {done / took_s:5.0f} a second, "
+        f"{dict(answers)}",
+        flush=True,
+    )
+    for client in clients:
+        client.close() if isinstance(client, QuicClient) else client.writer.close()
+    await asyncio.sleep(0.5)
+
+
+async def cost(requests: int) -> None:
+    for count in (1, 64, 1000):
+        for protocol in ("HTTP/1.1", "HTTP/3"):
+            with tempfile.TemporaryDirectory() as folder:
+                async with both(Path(folder), 2100, 8, {"limits": ROOM}) as b:
+                    await one(b, protocol, count, requests)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("what", nargs="*", default=["libraries", "cost"])
+    parser.add_argument("--requests", type=int, default=6000)
+    told = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    if "libraries" in told.what:
+        libraries(told.requests)
+    if "cost" in told.what:
+        asyncio.run(cost(told.requests))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/http3/test_proxy.py
+++ b/tests/http3/test_proxy.py
@@ -27,13 +27,14 @@
 certificate = "{certificate}"
 key = "{key}"
 alt_svc = true
+connections = {connections}
 """
 
 
 class Both:
     """A proxy that speaks both, one host, and clients of each."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, connections: int = 200) -> None:
         self.folder = folder
         self.authority = Authority(folder)
         self.files = self.authority.issue("localhost", "server")
@@ -42,7 +43,13 @@
             self.port = sock.getsockname()[1]
         self.box = Box(folder, False, "")
         self.box.file.write_text(
-            SITE.format(folder=folder, port=self.port, certificate=self.files[0], key=self.files[1])
+            SITE.format(
+                folder=folder,
+                port=self.port,
+                certificate=self.files[0],
+                key=self.files[1],
+                connections=connections,
+            )
         )
         self.clients: list[QuicClient] = []
         self.host: Host
@@ -65,10 +72,14 @@
 
 
 @asynccontextmanager
-async def both(folder: Path) -> AsyncIterator[Both]:
-    found = Both(folder)
-    found.host = await Host("h0").start()
-    async with running(await Discovery().start(), [found.host], environ=found.box.environ) as proxy:
+async def both(
+    folder: Path, connections: int = 200, servers: int = 1, more: dict[str, Any] | None = None
+) -> AsyncIterator[Both]:
+    """`more` goes into the proxy's file."""
+    found = Both(folder, connections)
+    hosts = [await Host(f"h{i}").start() for i in range(servers)]
+    found.host, environ = hosts[0], found.box.environ
+    async with running(await Discovery().start(), hosts, environ=environ, more=more) as proxy:
         found.proxy = proxy
         try:
             yield found
