--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -506,7 +506,7 @@
             s.authority = new
             assert (await (await s.client()).ask("/unsafe")).status == 200
             Path(s.files[1]).write_text("no key")
-            with pytest.raises(ValueError, match="server.key: has no PRIVATE KEY"):
+            with pytest.raises(ValueError, match=r"server\.key: has no PRIVATE KEY"):
                 s.front.recertify()
             assert (await (await s.client()).ask("/unsafe")).status == 200
 
