HTTP/3: datagrams are read in batches, with one pass to send for each connection

A request took 2.2 datagrams in, each with its own turn of the loop and its own pass through the library.

--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -98,14 +98,14 @@
             self._box = await self._pair(frontend)
             self._frontend = frontend
         if self._site.http3.enabled:
-            self._http3 = await self._open_http3(frontend)
+            self._http3 = self._open_http3(frontend)
         self._open_control(frontend)
         if self._http3 is not None:
             self._http3.observer = frontend.observer
         if self._book is not None or self._box is not None:
             self._on_tick()
 
-    async def _open_http3(self, frontend: Frontend) -> Http3Front:
+    def _open_http3(self, frontend: Frontend) -> Http3Front:
         # Imported here: a box that does not speak it loads nothing of it.
         try:
             from cloverrouter.http3.front import Front
@@ -115,7 +115,7 @@
         told, gate = self._site.http3, frontend.gate
         try:
             front = Front(gate, frontend.keeping, (told.certificate, told.key), told.connections)
-            _, port = await front.listen(read_address(told.listen))
+            _, port = front.listen(read_address(told.listen))
         except (OSError, ValueError) as error:
             raise StartError(f"[http3]: {error}") from error
         if told.alt_svc:
--- a/cloverrouter/http3/front.py
+++ b/cloverrouter/http3/front.py
@@ -8,9 +8,10 @@
 import asyncio
 import logging
 import os
+import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
-from typing import TypeVar, cast
+from typing import TypeVar
 
 from aioquic._buffer import Buffer
 from aioquic.h3 import events as h3
@@ -44,7 +45,9 @@
 PASSING_BYTES = 32 * 1024  # of a long answer may wait for its client before the host is to wait, too
 UNREAD_S = 3.0  # for answers of which the client reads nothing
 RETRY_AFTER = b"1.000"
-RECEIVE_BYTES = 1 << 20
+RECEIVE_BYTES = 1 << 20  # that may wait in the socket
+READ_AT_ONCE = 8  # datagrams, then the others have their turn
+MOST_DATAGRAM = 65_535
 LAST_BYTES_S = 0.5
 MOST_RESETS = 50  # stateless resets in a second; each tells an unknown peer that we are here
 T = TypeVar("T")
@@ -88,6 +91,7 @@
     # Datagrams, timers
 
     def receive(self, data: bytes, address: NetworkAddress) -> None:
+        """What has come; `settle` is to follow, once for all that is read in this turn of the loop."""
         self.heard_s = self._front.loop.time()
         self._run(lambda: self.quic.receive_datagram(data, address, now=self.heard_s))
 
@@ -95,6 +99,9 @@
         self._guarded(step)
         while not self.over and (event := self.quic.next_event()) is not None:
             self._happened(event)
+
+    def settle(self) -> None:
+        """Hand over what was taken, and send what there is to send."""
         self._hand_over()
         self.flush()
         # Ended by either side: what the library still waits for, late copies, is answered by a reset.
@@ -138,6 +145,7 @@
         now_s = self._front.loop.time()
         self._timer = None
         self._run(lambda: self.quic.handle_timer(now=now_s))
+        self.settle()
 
     def _happened(self, event: quic.QuicEvent) -> None:
         if isinstance(event, quic.ConnectionIdIssued):
@@ -410,7 +418,7 @@
         self._connection.passed(self._stream_id, False)
 
 
-class Front(asyncio.DatagramProtocol):
+class Front:
     """The socket and the connections that came by it. `files`: certificate and key, in PEM form."""
 
     def __init__(self, gate: Gate, keeping: Keeping, files: tuple[str, str], most: int) -> None:
@@ -424,17 +432,25 @@
         self.observer: Observer | None = None
         self._named: dict[bytes, Connection] = {}
         self._connections: set[Connection] = set()
-        self._transport: asyncio.DatagramTransport | None = None
+        self._sock: socket.socket | None = None
         self._sweeping: asyncio.TimerHandle | None = None
         self._resets = 0
         self._full = False  # nobody may begin any more
 
-    async def listen(self, address: Address) -> Address:
+    def listen(self, address: Address) -> Address:
         """Raises OSError."""
-        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=address)
-        self._transport = transport
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+            sock.bind(address)
+        except OSError:
+            sock.close()
+            raise
+        self._sock = sock
+        self.loop.add_reader(sock, self._read)
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
-        host, port = transport.get_extra_info("sockname")[:2]
+        host, port = sock.getsockname()[:2]
         return host, port
 
     def recertify(self) -> None:
@@ -448,22 +464,45 @@
     def settings(self) -> QuicConfiguration:
         return self._settings
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def error_received(self, exc: Exception) -> None:
-        """A client that is not there any more: its connection ends by its silence."""
+    def _read(self) -> None:
+        """Some of what has come: those on HTTP/1.1 are to have their turn."""
+        touched: dict[Connection, None] = {}
+        for _ in range(READ_AT_ONCE):
+            if self._sock is None:
+                break
+            try:
+                data, address = self._sock.recvfrom(MOST_DATAGRAM)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # an earlier client is not there any more: its connection ends by its silence
+                continue
+            connection = self._take(data, address)
+            if connection is not None:
+                touched[connection] = None
+        for connection in touched:
+            connection.settle()
 
     def send(self, data: bytes, address: NetworkAddress) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(data, address)
+        if self._sock is None:
+            return
+        try:
+            self._sock.sendto(data, address)
+        except OSError:  # no room, or nobody there: a packet that is lost is sent again
+            self.count["unsent"] += 1
 
     def datagram_received(self, data: bytes, address: NetworkAddress) -> None:
+        """One datagram alone."""
+        connection = self._take(data, address)
+        if connection is not None:
+            connection.settle()
+
+    def _take(self, data: bytes, address: NetworkAddress) -> Connection | None:
+        """The connection that it belongs to, which is to be settled; None if there is none."""
         try:
             header = pull_quic_header(Buffer(data=data), host_cid_length=ID_BYTES)
         except (ValueError, IndexError):
             self.count["noise"] += 1
-            return
+            return None
         connection = self._named.get(header.destination_cid)
         if connection is not None:
             connection.receive(data, address)
@@ -481,10 +520,11 @@
                 address,
             )
         elif header.packet_type == QuicPacketType.INITIAL:
-            self._first(data, address, header)
+            return self._first(data, address, header)
+        return connection
 
-    def _first(self, data: bytes, address: NetworkAddress, header: QuicHeader) -> None:
-        """The first packet of a connection."""
+    def _first(self, data: bytes, address: NetworkAddress, header: QuicHeader) -> Connection | None:
+        """The first packet of a connection; the connection, if it begins."""
         version, asked, token = header.version or 0, header.destination_cid, header.token
         now_s, place = self.loop.time(), (address[0], address[1])
         original = self.doors.read(place, token, asked, now_s) if token else None
@@ -509,6 +549,8 @@
             self.named(asked, connection)
             self.named(transport.host_cid, connection)
             connection.receive(data, address)
+            return connection
+        return None
 
     def _reset(self, connection_id: bytes, size: int, address: NetworkAddress) -> None:
         """A packet of a connection that this process does not know, from before a restart perhaps."""
@@ -574,8 +616,10 @@
             connection.close()
         if self._sweeping is not None:
             self._sweeping.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        if self._sock is not None:
+            self.loop.remove_reader(self._sock)
+            self._sock.close()
+            self._sock = None
 
     def _sweep(self) -> None:
         now_s = self.loop.time()
--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -75,7 +75,7 @@
 @asynccontextmanager
 async def scene(folder: Path, most: int = 50, budget: int = 1 << 20) -> AsyncIterator[Scene]:
     found = Scene(folder, most, budget)
-    found.address = await found.front.listen(("127.0.0.1", 0))
+    found.address = found.front.listen(("127.0.0.1", 0))
     try:
         yield found
     finally:
