--- a/benchmarks/http3.py
+++ b/benchmarks/http3.py
@@ -1,9 +1,11 @@
-"""What HTTP/3 costs beside HTTP/1.1: in the libraries alone, and in the proxy.
+"""What HTTP/3 costs beside HTTP/1.1: in the libraries alone, in the proxy, under load.
 
-    python -m benchmarks.http3 [libraries] [cost] [--requests 6000]
+    python -m benchmarks.http3 [libraries] [cost] [mixed] [--requests 6000] [--seconds 10] [--seeds 1]
 
 `libraries`: both QUIC libraries in memory, no socket, the answer made at once: CPU of the server's side.
 `cost`: CPU time and memory of the proxy's process before eight stand-in servers, by protocol and connections.
+`mixed`: an open load of 570 requests a second, both classes, over ten servers on HTTP/1.1 that fail and
+pause; by HTTP/1.1 alone, half and half, and by HTTP/3 alone, with 2% of the datagrams lost each way.
 All of one call on one machine; only ratios within it are to be compared.
 """
 
@@ -13,6 +15,7 @@
 import asyncio
 import logging
 import os
+import random
 import resource
 import tempfile
 import time
@@ -22,11 +25,14 @@
 from typing import Any
 
 from cloverrouter.lab.certificates import Authority
-from cloverrouter.lab.peers import Client, Proxy
+from cloverrouter.lab.peers import Client, Discovery, Host, Proxy, Seen, ok, running
 from cloverrouter.lab.quic import LIBRARIES, QuicClient, library
+from cloverrouter.lab.relay import Nat
 from tests.http3.test_proxy import Both, both
 
 ROOM = {"cores": 1.0, "memory_mb": 1024, "sockets": 16_000}
+RATE = 570  # requests a second
+LOSS = 0.02
 TICKS = os.sysconf("SC_CLK_TCK")
 ANSWER = [(b":status", b"200"), (b"content-type", b"application/json"), (b"content-length", b"200")]
 
@@ -210,14 +216,99 @@
                     await one(b, protocol, count, requests)
 
 
+# Both under load
+
+
+async def faulty_host(name: str, runs: Counter[str], rng: random.Random) -> Host:
+    """5 to 30 ms of work; one request in 50 fails or is cut off after it ran, now and then all wait 0.4 s."""
+    state = {"pause_until": 0.0}
+
+    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        now_s = time.monotonic()
+        if rng.random() < 0.002:
+            state["pause_until"] = now_s + 0.4
+        await asyncio.sleep(max(0.0, state["pause_until"] - now_s) + rng.uniform(0.005, 0.03))
+        if "idempotency-key" not in seen.message.headers:
+            runs[seen.message.headers["x-request-id"]] += 1  # a keyed repeat is dropped by real servers
+        fate = rng.random()
+        if fate < 0.01:
+            writer.transport.abort()
+        elif fate < 0.02:
+            writer.write(b"HTTP/1.1 500 Wrong\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.write(ok(b"y" * 200, b"X-Server-Load: inflight=3,queue=1\r\n"))
+
+    return await Host(name, respond).start()
+
+
+async def mixed(seconds: float, share: float, seed: int) -> None:
+    """An open load; `share` of it by HTTP/3, through a box that loses datagrams."""
+    rng = random.Random(seed)
+    runs: Counter[str] = Counter()
+    answers: Counter[int] = Counter()
+    took_ms: list[float] = []
+    with tempfile.TemporaryDirectory() as folder:
+        found = Both(Path(folder))
+        hosts = [await faulty_host(f"s-{i}", runs, random.Random(seed + i)) for i in range(10)]
+        more = {"limits": ROOM}
+        environ = found.box.environ
+        async with running(await Discovery().start(), hosts, environ=environ, more=more) as proxy:
+            nat = await Nat(seed, ("127.0.0.1", found.port)).start()
+            nat.out.loss = nat.home.loss = LOSS
+            by3 = [await QuicClient(nat.address, found.authority.file).open() for _ in range(8)]
+            idle: list[Client] = []
+
+            async def ask(target: str, http3: bool, at_s: float) -> None:
+                if http3:
+                    client = rng.choice(by3)
+                    status = (await client.ask(target, b"x" * 100)).status
+                else:
+                    plain = idle.pop() if idle else await proxy.client()
+                    answer = await plain.ask(target, body=b"x" * 100)
+                    status = answer.status
+                    if answer.headers.get("connection") != "close":
+                        idle.append(plain)
+                answers[status] += 1
+                if status == 200:
+                    took_ms.append((time.monotonic() - at_s) * 1000)
+
+            tasks, begun_s, due_s = [], time.monotonic(), 0.0
+            while due_s < seconds:
+                due_s += rng.expovariate(RATE)
+                target = "/unsafe" if rng.random() < 0.5 else "/keyed?obj=%d" % rng.randrange(500)
+                by_http3 = rng.random() < share
+                await asyncio.sleep(max(0.0, begun_s + due_s - time.monotonic()))
+                tasks.append(asyncio.create_task(ask(target, by_http3, begun_s + due_s)))
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            lost = [r for r in results if r is not None]
+            for client in by3:
+                client.close()
+            nat.close()
+    took_ms.sort()
+    doubled = sum(count > 1 for count in runs.values())
+    at = {share: took_ms[int(len(took_ms) * share)] for share in (0.5, 0.95, 0.99)}
+    print(
+        f"{share:4.0%} by HTTP/3: {len(tasks)} requests, answers {dict(answers)}, none for {len(lost)}, "
+        f"entry-registers run twice {doubled}; p50 {at[0.5]:.0f} p95 {at[0.95]:.0f} p99 {at[0.99]:.0f} ms; "
+        f"datagrams lost {nat.out.lost + nat.home.lost}",
+        flush=True,
+    )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("what", nargs="*", default=["libraries", "cost"])
     parser.add_argument("--requests", type=int, default=6000)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--seeds", type=int, default=1)
     told = parser.parse_args()
     logging.disable(logging.CRITICAL)
     if "libraries" in told.what:
         libraries(told.requests)
+    if "mixed" in told.what:
+        for seed in range(told.seeds):
+            for share in (0.0, 0.5, 1.0):
+                asyncio.run(mixed(told.seconds, share, seed))
     if "cost" in told.what:
         asyncio.run(cost(told.requests))
 
