--- a/benchmarks/http3.py
+++ b/benchmarks/http3.py
@@ -275,7 +275,7 @@
             tasks, begun_s, due_s = [], time.monotonic(), 0.0
             while due_s < seconds:
                 due_s += rng.expovariate(RATE)
-                target = "/unsafe" if rng.random() < 0.5 else "/keyed?obj=%d" % rng.randrange(500)
+                target = "/unsafe" if rng.random() < 0.5 else f"/keyed?obj={rng.randrange(500)}"
                 by_http3 = rng.random() < share
                 await asyncio.sleep(max(0.0, begun_s + due_s - time.monotonic()))
                 tasks.append(asyncio.create_task(ask(target, by_http3, begun_s + due_s)))
