HTTP/3: an unfinished handshake has 10 s, and 2.3 s only where it is in others' way

Its client had finished by then and asked; the server closed the connection, and what was asked had no answer. The time now depends on whether handshakes are short of room. A test cuts the way behind the client's first packet for a second: served, and with the former time ended without an answer.

--- a/cloverrouter/http3/doors.py
+++ b/cloverrouter/http3/doors.py
@@ -12,6 +12,9 @@
 from ipaddress import ip_address
 
 MOST_UNPROVEN = 16  # handshakes under way, beyond which addresses must prove themselves
+# An unfinished handshake ends after this time; after the shorter one where it stands in others' way. Danger:
+# its client may have finished, with its last packets lost, and asked already: ended, it has no answer.
+HANDSHAKE_S, CROWDED_S = 10.0, 2.3
 TOKEN_S = 10.0  # a token is answered within a round trip
 MAC_BYTES = 16
 ID_BYTES = 8  # of connection ids that we choose
@@ -36,11 +39,17 @@
         """`connections`: open; `unproven`: of those, still in their handshakes; `proven`: it has a token."""
         # Danger: each forged address would cost a connection's memory and a handshake's work; and where there
         # is no room, another's idle connection.
-        bound = min(MOST_UNPROVEN, max(1, self.most // 4))
-        if not proven and (connections >= self.most or unproven >= bound):
+        if not proven and self._crowded(connections, unproven):
             return Word.PROVE
         return Word.BEGIN if connections < self.most else Word.DROP
 
+    def handshake_s(self, connections: int, unproven: int) -> float:
+        """How long a handshake may take by now."""
+        return CROWDED_S if self._crowded(connections, unproven) else HANDSHAKE_S
+
+    def _crowded(self, connections: int, unproven: int) -> bool:
+        return connections >= self.most or unproven >= min(MOST_UNPROVEN, max(1, self.most // 4))
+
     # Tokens: what a client sends back shows that it got it, at its address, a moment ago
 
     def token(self, address: tuple[str, int], original: bytes, chosen: bytes, now_s: float) -> bytes:
--- a/cloverrouter/http3/front.py
+++ b/cloverrouter/http3/front.py
@@ -38,7 +38,7 @@
 LEAST_INITIAL = 1200  # bytes of a datagram with a client's first packet (RFC 9000, 14.1)
 LEAST_RESET = 43  # bytes of a packet that a stateless reset answers to
 SWEEP_S = 0.2
-HANDSHAKE_S = 2.3  # as an unfinished request on HTTP/1.1
+CROWDED_IDLE_S = 2.3  # where connections are short, as on HTTP/1.1
 ALIVE_S = 3.0  # a client that is owed something and silent for so long is asked whether it is there
 MOST_UNREAD = 256 * 1024  # of answers, beyond which no further request is handed over
 PASSING_BYTES = 32 * 1024  # of a long answer may wait for its client before the host is to wait, too
@@ -374,10 +374,10 @@
         for sink in passing.values():
             self._gate.handler.gone(sink.call)
 
-    def check(self, now_s: float, crowded: bool) -> None:
+    def check(self, now_s: float, crowded: bool, handshake_s: float) -> None:
         """Danger: whoever never ends a handshake, a request, or reads no answer holds memory for good."""
         if not self.proven:
-            if now_s - self.since_s > HANDSHAKE_S:
+            if now_s - self.since_s > handshake_s:
                 self.close(reason="handshake took too long")
             return
         for stream in self.streams.late(now_s):
@@ -394,7 +394,7 @@
             # Danger: a path that is lost is as silent as a client that waits.
             self._guarded(lambda: self.quic.send_ping(1))
             self.flush_soon()
-        elif self.idle and (self.streams.leaving or (crowded and silent_s > HANDSHAKE_S)):
+        elif self.idle and (self.streams.leaving or (crowded and silent_s > CROWDED_IDLE_S)):
             self.close()
 
     @property
@@ -624,6 +624,7 @@
         now_s = self.loop.time()
         self._resets = 0
         crowded = len(self._connections) > self.doors.most // 2
+        handshake_s = self.doors.handshake_s(len(self._connections), self._unproven)
         for connection in list(self._connections):
-            connection.check(now_s, crowded)
+            connection.check(now_s, crowded, handshake_s)
         self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -557,6 +557,36 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("crowded", [False, True])
+def test_a_handshake_whose_end_is_lost_for_a_while(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, crowded: bool
+) -> None:
+    """The client has finished, and asks; its server has heard nothing of either. Ended after the time that is
+    right where others wait, it would have asked in vain."""
+    monkeypatch.setattr(doors, "CROWDED_S", 0.3)
+    monkeypatch.setattr(doors, "MOST_UNPROVEN", 1 if crowded else 16)
+
+    async def run() -> None:
+        async with scene(tmp_path) as s:
+            nat = await Nat(7, s.address).start()
+            nat.home.delay = lambda: 0.1  # there is time to cut the way before the client has finished
+            s.address = nat.address
+            client = QuicClient(s.address, s.authority.file, "aioquic")
+            s.clients.append(client)
+            opening = asyncio.create_task(client.open())
+            await until(lambda: s.front.open == 1)
+            nat.out.cut = True
+            await opening
+            asked = client.send("/unsafe")
+            await asyncio.sleep(1.0)
+            nat.out.cut = False
+            reply = await client.reply(asked)
+            assert (reply.status, client.over is None) == ((0, False) if crowded else (200, True))
+            nat.close()
+
+    asyncio.run(run())
+
+
 def test_one_lost_packet_does_not_hold_up_other_requests(tmp_path: Path) -> None:
     async def run() -> None:
         async with scene(tmp_path) as s:
--- a/tests/http3/test_rules.py
+++ b/tests/http3/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from cloverrouter.http3 import streams
-from cloverrouter.http3.doors import MOST_UNPROVEN, TOKEN_S, Doors, Word
+from cloverrouter.http3.doors import CROWDED_S, HANDSHAKE_S, MOST_UNPROVEN, TOKEN_S, Doors, Word
 from cloverrouter.http3.fields import Fields, Request, answer_fields, request_of
 from cloverrouter.http3.streams import FREE_BYTES, FROM_ANY, MOST_HANDED, Streams
 from cloverrouter.proxy.keeping import Keeping
@@ -212,6 +212,16 @@
     assert Doors(most, b"s").word(connections, unproven, proven) is word
 
 
+@pytest.mark.parametrize(
+    ("connections", "unproven", "seconds"),
+    [(1, 1, HANDSHAKE_S), (50, MOST_UNPROVEN, CROWDED_S), (100, 1, CROWDED_S), (99, 15, HANDSHAKE_S)],
+)
+def test_a_handshake_has_time_unless_it_is_in_the_way(
+    connections: int, unproven: int, seconds: float
+) -> None:
+    assert Doors(100, b"s").handshake_s(connections, unproven) == seconds
+
+
 def test_a_token_counts_for_one_address_one_connection_and_a_moment() -> None:
     own, other = Doors(9, b"one secret"), Doors(9, b"another")
     token = own.token(HERE, b"original", b"chosen..", 5.0)
