HTTP/3 carrier: attempts as streams of few connections, each end told as what it is

Servers that the operators' file names are asked by HTTP/3 ([http3_servers]). The lab has a scripted server on two libraries.

--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -28,6 +28,7 @@
 from cloverrouter.site import Site, SiteError, check
 
 if TYPE_CHECKING:
+    from cloverrouter.http3.carrier import Carrier as Http3Carrier
     from cloverrouter.http3.front import Front as Http3Front
     from cloverrouter.vrrp.shell import Box
     from cloverrouter.vrrp.tracking import Fault
@@ -43,7 +44,9 @@
 
 def descriptors(site: Site) -> int:
     """How many descriptors the appliance may hold, which requests then can't."""
-    return (site.control.clients + 4 if site.control.enabled else 0) + site.vrrp.enabled + site.http3.enabled
+    control = site.control.clients + 4 if site.control.enabled else 0
+    carrier = site.http3_servers.connections if site.http3_servers.enabled else 0
+    return control + site.vrrp.enabled + site.http3.enabled + carrier
 
 
 class Alarms:
@@ -73,6 +76,7 @@
         self._box: Box | None = None
         self._frontend: Frontend | None = None
         self._http3: Http3Front | None = None
+        self._carrier = self._carry(told, node) if site.http3_servers.enabled else None
         self._tick: asyncio.TimerHandle | None = None
         self._events = Events(_now_ms)
         folder = None
@@ -105,6 +109,28 @@
         if self._book is not None or self._box is not None:
             self._on_tick()
 
+    def _carry(self, told: Config, node: Node) -> Http3Carrier:
+        """Put the carrier of HTTP/3 before the node's own. Raises `StartError`."""
+        try:
+            from cloverrouter.http3.carrier import Carrier
+            from cloverrouter.http3.ways import Speech
+            from cloverrouter.http3.wire import client_settings
+        except ImportError as error:
+            raise StartError(f"[http3_servers] needs what requirements-http3.txt names: {error}") from error
+
+        own = self._site.http3_servers
+        try:
+            settings = client_settings(own.authority)
+        except (OSError, ValueError) as error:
+            raise StartError(f"[http3_servers]: {error}") from error
+        speech = Speech(frozenset(own.servers), own.fallback)
+        wait_ms, idle_ms = told.settings.limits.connect_timeout_ms, told.conn_idle_ms
+        carrier = Carrier(
+            node.carrier, speech, settings, own.name, own.connections, wait_ms, idle_ms, node.seen
+        )
+        node.carrier = carrier
+        return carrier
+
     def _open_http3(self, frontend: Frontend) -> Http3Front:
         # Imported here: a box that does not speak it loads nothing of it.
         try:
@@ -125,16 +151,24 @@
 
     def reload(self) -> None:
         """SIGHUP: files that the operators may have replaced are read again; bad ones change nothing."""
-        if self._http3 is None:
-            return
+        if self._http3 is not None:
+            self._reread("http3", "certificate and key", self._http3.recertify)
+        carrier = self._carrier
+        if carrier is not None:
+            from cloverrouter.http3.wire import client_settings
+
+            path = self._site.http3_servers.authority
+            self._reread("http3_servers", "authority", lambda: carrier.retrust(client_settings(path)))
+
+    def _reread(self, name: str, what: str, step: Callable[[], None]) -> None:
         try:
-            self._http3.recertify()
+            step()
         except (OSError, ValueError) as error:
-            log.error("http3: certificate and key not reread: %s", error)
-            self._alarms.set("http3", f"[http3]: certificate and key not reread: {error}")
+            log.error("%s: %s not reread: %s", name, what, error)
+            self._alarms.set(name, f"[{name}]: {what} not reread: {error}")
         else:
-            self._alarms.set("http3", None)
-            self._event("http3", {"text": "certificate and key reread"})
+            self._alarms.set(name, None)
+            self._event(name, {"text": f"{what} reread"})
 
     def _open_control(self, frontend: Frontend) -> None:
         settings = self._told.settings
@@ -152,6 +186,8 @@
             self._roster,
             condition,
             lambda: frontend.count + (0 if self._http3 is None else self._http3.open),
+            lambda: self._protocols(frontend),
+            lambda server: "HTTP/1.1" if self._carrier is None else self._carrier.told(server),
             lambda: frontend.gate.stopping,
             self._alarms.texts,
             lambda: None if self._box is None else self._box.role(),
@@ -179,6 +215,15 @@
             raise StartError(f"[control]: {error}") from error
         log.info("control: listens at %s", control.socket)
 
+    def _protocols(self, frontend: Frontend) -> Json:
+        found: Json = {"clients": {"HTTP/1.1": frontend.count}}
+        if self._http3 is not None:
+            found["clients"]["HTTP/3"] = self._http3.open
+            found["HTTP/3 from clients"] = dict(self._http3.count)
+        if self._carrier is not None:
+            found["HTTP/3 to servers"] = dict(self._carrier.count)
+        return found
+
     async def _pair(self, frontend: Frontend) -> Box:
         # Imported here: a box that is no member of a pair loads nothing of it.
         from cloverrouter.vrrp.compose import make_box
@@ -247,6 +292,8 @@
             self._box.close()
         if self._http3 is not None:
             await self._http3.close()
+        if self._carrier is not None:
+            self._carrier.close()
         if self._server is not None:
             self._server.close()
         await self.keeper.close()
--- a/cloverrouter/control/tell.py
+++ b/cloverrouter/control/tell.py
@@ -41,6 +41,8 @@
     roster: Callable[[], list[Listed]]
     condition: Callable[[EndpointView], str]
     clients: Callable[[], int]  # connections of clients that are open
+    protocols: Callable[[], Json]  # the same and more, by protocol
+    protocol: Callable[[str], str]  # by which a server is asked now
     stopping: Callable[[], bool]
     alarms: Callable[[], list[str]]
     pair: Callable[[], Json | None]  # the role of a box of a pair; None: it is none
@@ -82,6 +84,7 @@
         "open": view.requests,
         "held": view.held,
         "clients": sources.clients(),
+        "protocols": sources.protocols(),
         "retry_tokens": round(view.retry_tokens, 1),
         "discovery": "lost" if view.discovery_lost else "well",
         "alarms": alarms,
@@ -103,6 +106,7 @@
         "server": listed.server,
         "zone": listed.zone,
         "address": listed.address,
+        "protocol": sources.protocol(listed.server),
         "state": listed.state,
         "drain": listed.drain,
         "condition": "absent" if view is None else sources.condition(view),
--- a/cloverrouter/http3/fields.py
+++ b/cloverrouter/http3/fields.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from cloverrouter.proxy.messages import MOST_BODY
+from cloverrouter.proxy.messages import MOST_BODY, Call
 from cloverrouter.proxy.validity import Head
 
 Fields = Sequence[tuple[bytes, bytes]]
@@ -65,3 +65,23 @@
     if retry_after:
         fields.append((b"retry-after", retry_after))
     return fields
+
+
+def request_fields(call: Call, authority: str, timeout_ms: float) -> list[tuple[bytes, bytes]]:
+    """A request's field section, to a server: what HTTP/1.1 says in its head, in the same words."""
+    fields = [
+        (b":method", call.method),
+        (b":scheme", b"https"),
+        (b":authority", authority.encode()),
+        (b":path", call.target),
+        (b"x-request-id", call.request_id),
+        (b"x-timeout-ms", b"%d" % max(1, int(timeout_ms))),
+    ]
+    if call.idempotency_key:
+        fields.append((b"idempotency-key", call.idempotency_key))
+    if call.content_type:
+        fields.append((b"content-type", call.content_type))
+    length = len(call.body) if call.upload is None else call.upload.length
+    if length is not None and (length or call.method not in (b"GET", b"HEAD")):
+        fields.append((b"content-length", b"%d" % length))
+    return fields
--- a/cloverrouter/http3/front.py
+++ b/cloverrouter/http3/front.py
@@ -6,12 +6,10 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import socket
 from collections import Counter
 from collections.abc import Callable
-from typing import TypeVar
 
 from aioquic._buffer import Buffer
 from aioquic.h3 import events as h3
@@ -27,6 +25,7 @@
 
 from cloverrouter.http3.doors import ID_BYTES, Doors, Word
 from cloverrouter.http3.fields import answer_fields, request_of
+from cloverrouter.http3.link import Link
 from cloverrouter.http3.streams import STEP, Stream, Streams
 from cloverrouter.http3.wire import Http3, NetworkAddress, Quic, server_settings, stateless_reset
 from cloverrouter.proxy.config import Address
@@ -51,8 +50,6 @@
 MOST_DATAGRAM = 65_535
 LAST_BYTES_S = 0.5
 MOST_RESETS = 50  # stateless resets in a second; each tells an unknown peer that we are here
-T = TypeVar("T")
-log = logging.getLogger(__name__)
 
 
 class Http3Call(ParsedCall):
@@ -71,82 +68,32 @@
         return self._connection.begin(self.stream_id, answer)
 
 
-class Connection:
+class Connection(Link):
     """One QUIC connection of a client, with many requests at once."""
 
     def __init__(self, front: Front, transport: Quic, address: NetworkAddress) -> None:
+        super().__init__(front.loop, transport, address[0], front.count)
         self._front, self._gate, self.quic = front, front.gate, transport
         self.streams = Streams(front.keeping)
         self.ids: set[bytes] = set()  # connection ids by which its packets find it
         self.proven = False  # its handshake is over: its address is known to be its own
-        self.since_s = self.heard_s = front.loop.time()
+        self.since_s = self.heard_s
         self._http: Http3 | None = None
         self._calls: dict[int, Http3Call] = {}  # taken and not answered
         self._passing: dict[int, Passing] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._flushing = False
         self._written = self._read = self._seen = 0  # bytes of answers, and as many as had been read at last
-        self.over = False
-        self._address = address
 
-    # Datagrams, timers
+    # A `Link`
 
-    def receive(self, data: bytes, address: NetworkAddress) -> None:
-        """What has come; `settle` is to follow, once for all that is read in this turn of the loop."""
-        self.heard_s = self._front.loop.time()
-        self._run(lambda: self.quic.receive_datagram(data, address, now=self.heard_s))
+    def _send(self, data: bytes, address: NetworkAddress) -> None:
+        self._front.send(data, address)
 
-    def _run(self, step: Callable[[], None]) -> None:
-        self._guarded(step)
-        while not self.over and (event := self.quic.next_event()) is not None:
-            self._happened(event)
-
-    def settle(self) -> None:
-        """Hand over what was taken, and send what there is to send."""
-        self._hand_over()
-        self.flush()
-        # Ended by either side: what the library still waits for, late copies, is answered by a reset.
-        if self.quic.ended:
-            self._end()
-
-    def _guarded(self, step: Callable[[], T]) -> T | None:
-        """Danger: whatever a peer sends, what it breaks in the library ends its connection and nothing else.
-        Only the library's own steps go through here: an error in the rules must end the process."""
-        try:
-            return step()
-        except Exception as error:
-            log.warning("a connection of %s ended: %s: %s", self._address[0], type(error).__name__, error)
-            self._front.count["failed"] += 1
-            self._end()
-            return None
-
-    def flush(self) -> None:
-        self._flushing = False
-        if self.over:
-            return
-        now_s = self._front.loop.time()
-        for data, address in self._guarded(lambda: self.quic.datagrams_to_send(now=now_s)) or ():
-            self._front.send(data, address)
-        if self.over:
-            return
+    def _flushed(self) -> None:
         for passing in list(self._passing.values()):
             passing.look()
-        if self._timer is not None:
-            self._timer.cancel()
-        due_s = self.quic.get_timer()
-        self._timer = None if due_s is None else self._front.loop.call_at(due_s, self._on_timer)
-
-    def flush_soon(self) -> None:
-        """Once for all that is written in this turn of the loop: more of it goes into one packet."""
-        if not self._flushing:
-            self._flushing = True
-            self._front.loop.call_soon(self.flush)
-
-    def _on_timer(self) -> None:
-        now_s = self._front.loop.time()
-        self._timer = None
-        self._run(lambda: self.quic.handle_timer(now=now_s))
-        self.settle()
+
+    def _settled(self) -> None:
+        self._hand_over()
 
     def _happened(self, event: quic.QuicEvent) -> None:
         if isinstance(event, quic.ConnectionIdIssued):
@@ -363,8 +310,7 @@
         if self._calls or self._passing or (self.proven and self.unread):
             self._front.count["undelivered"] += 1
         self.over = True
-        if self._timer is not None:
-            self._timer.cancel()
+        self._stop_timer()
         self._front.remove(self)
         self.streams.ended()
         calls, self._calls = self._calls, {}
--- a/cloverrouter/http3/wire.py
+++ b/cloverrouter/http3/wire.py
@@ -3,23 +3,32 @@
 from __future__ import annotations
 
 import hashlib
+import hmac
 import os
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import pylsqpack
+from aioquic._buffer import Buffer, BufferReadError
+from aioquic.h3 import events as h3
 from aioquic.h3.connection import (
     ErrorCode,
     FrameType,
     H3Connection,
     H3Stream,
+    MessageError,
     ProtocolError,
     Setting,
     encode_frame,
 )
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.connection import NetworkAddress, QuicConnection
-from aioquic.quic.packet import QuicProtocolVersion
+from aioquic.quic.connection import MAX_STREAM_DATA_FRAME_CAPACITY, NetworkAddress, QuicConnection
+from aioquic.quic.events import QuicEvent
+from aioquic.quic.packet import QuicFrameType, QuicProtocolVersion
+from aioquic.quic.packet_builder import QuicPacketBuilder
+from aioquic.quic.recovery import QuicPacketSpace
+from aioquic.quic.stream import QuicStream
 
 from cloverrouter.http3.doors import ID_BYTES
 from cloverrouter.proxy.messages import MAX_HEAD
@@ -35,11 +44,15 @@
 MOST_FIELDS = 32 * 1024
 
 
+# Of an answer that its reader is slow to take, no more than this comes on top of what is with it.
+ANSWER_WINDOW = 64 * 1024
+
+
 class TooMuch(ProtocolError):
     error_code = ErrorCode.H3_EXCESSIVE_LOAD
 
 
-class Http3(H3Connection):
+class Bounded(H3Connection):
     """The library's bounds are for browsers."""
 
     def _init_connection(self) -> None:
@@ -58,6 +71,10 @@
         if frame_type == FrameType.HEADERS and (stream.frame_size or 0) > MOST_FIELDS:
             raise TooMuch("the head is too large")
 
+
+class Http3(Bounded):
+    """A server's side."""
+
     def go_away(self, stream_id: int) -> None:
         """Requests on streams from `stream_id` up are not served (RFC 9114, 5.2)."""
         assert self._local_control_stream_id is not None
@@ -66,7 +83,39 @@
         self._quic.send_stream_data(self._local_control_stream_id, encode_frame(FrameType.GOAWAY, told))
 
 
-class Quic(QuicConnection):
+class Looked(QuicConnection):
+    """What the library does not tell of itself."""
+
+    def writable(self, stream_id: int) -> bool:
+        """May anything be written to the stream still?"""
+        stream = self._streams.get(stream_id)
+        if stream is None:
+            return False
+        sender = stream.sender
+        return not sender.is_finished and sender._reset_error_code is None and sender._buffer_fin is None
+
+    def readable(self, stream_id: int) -> bool:
+        """May more come on the stream?"""
+        stream = self._streams.get(stream_id)
+        return stream is not None and not stream.receiver.is_finished
+
+    def waiting(self, stream_id: int) -> int:
+        """Bytes of a stream that its reader has not acknowledged."""
+        stream = self._streams.get(stream_id)
+        return 0 if stream is None else len(stream.sender._buffer)
+
+    @property
+    def unread(self) -> int:
+        """The same of all streams together."""
+        return sum(len(stream.sender._buffer) for stream in self._streams.values())
+
+    @property
+    def ended(self) -> bool:
+        """Has either side ended it? The library goes on waiting for late copies."""
+        return self._close_event is not None
+
+
+class Quic(Looked):
     """A server's connection. `reset_token`: gives the token for a connection id by which a process that knows
     nothing of the connection can end it (RFC 9000, 10.3)."""
 
@@ -94,28 +143,154 @@
         super()._replenish_connection_ids()
         self._name_tokens()
 
-    def writable(self, stream_id: int) -> bool:
-        """May anything be written to the stream still?"""
-        stream = self._streams.get(stream_id)
-        if stream is None:
+
+@dataclass(frozen=True, slots=True)
+class Away(h3.H3Event):
+    """GOAWAY: requests on streams from `bound` up are not served (RFC 9114, 5.2)."""
+
+    bound: int
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed(h3.H3Event):
+    """What came on a stream is no answer; the others go on (RFC 9114, 4.1.2)."""
+
+    stream_id: int
+    why: str
+
+
+class Http3Client(Bounded):
+    """A client's side. The library knows neither GOAWAY nor errors of one stream alone."""
+
+    def __init__(self, quic: QuicConnection) -> None:
+        super().__init__(quic)
+        self._bound: int | None = None
+        self._told: list[h3.H3Event] = []
+
+    def handle_event(self, event: QuicEvent) -> list[h3.H3Event]:
+        found = super().handle_event(event)
+        told, self._told = self._told, []
+        return found + told
+
+    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+        if frame_type != FrameType.GOAWAY:
+            super()._handle_control_frame(frame_type, frame_data)
+            return
+        try:
+            bound = Buffer(data=frame_data).pull_uint_var()
+        except BufferReadError as error:
+            raise BadId("GOAWAY has no id") from error
+        # Danger: raised again, an id would call off what was said of requests that have gone elsewhere.
+        if bound % 4 or (self._bound is not None and bound > self._bound):
+            raise BadId("GOAWAY with an id that is no request's, or is above the last one")
+        self._bound = bound
+        self._told.append(Away(bound))
+
+    def _receive_request_or_push_data(
+        self, stream: H3Stream, data: bytes, stream_ended: bool
+    ) -> list[h3.H3Event]:
+        try:
+            return super()._receive_request_or_push_data(stream, data, stream_ended)
+        except (MessageError, TooMuch) as error:
+            # Danger: closed with the connection, all others on it would end, and may have run.
+            stream.receiving_ended = True
+            return [Malformed(stream.stream_id, error.reason_phrase)]
+
+
+class BadId(ProtocolError):
+    error_code = ErrorCode.H3_ID_ERROR
+
+
+class QuicClient(Looked):
+    """A client's connection: knows stateless resets, and can hold a stream's sender back."""
+
+    def __init__(self, configuration: QuicConfiguration) -> None:
+        super().__init__(configuration=configuration)
+        self._held: set[int] = set()
+
+    def is_reset(self, data: bytes) -> bool:
+        """Is this a stateless reset (RFC 9000, 10.3.1)? The process that knew the connection has ended."""
+        if len(data) < 21 or data[0] & 0x80:
             return False
-        sender = stream.sender
-        return not sender.is_finished and sender._reset_error_code is None and sender._buffer_fin is None
+        known = (self._peer_cid, *self._peer_cid_available)
+        return any(
+            cid.stateless_reset_token and hmac.compare_digest(cid.stateless_reset_token, data[-16:])
+            for cid in known
+        )
 
-    def waiting(self, stream_id: int) -> int:
-        """Bytes of a stream that its reader has not acknowledged."""
+    def sent(self, stream_id: int) -> bool:
+        """Has all of a stream been put into packets, its end (FIN) among it?"""
         stream = self._streams.get(stream_id)
-        return 0 if stream is None else len(stream.sender._buffer)
+        if stream is None:
+            return self._stream_is_discarded(stream_id)
+        sender = stream.sender
+        if sender._reset_error_code is not None or sender._buffer_fin is None:
+            return False
+        return sender.is_finished or (not sender._pending and not sender._pending_eof)
 
     @property
-    def unread(self) -> int:
-        """The same of all streams together."""
-        return sum(len(stream.sender._buffer) for stream in self._streams.values())
+    def idle_s(self) -> float:
+        """With nothing said for so long, either side forgets the connection."""
+        return self._idle_timeout()
 
     @property
-    def ended(self) -> bool:
-        """Has either side ended it? The library goes on waiting for late copies."""
-        return self._close_event is not None
+    def room(self) -> int:
+        """How many more streams the server lets us open now."""
+        return self._remote_max_streams_bidi - self._local_next_stream_id_bidi // 4
+
+    def hold(self, stream_id: int, held: bool) -> None:
+        """Give the sender of a stream no more room, or again some."""
+        if held:
+            self._held.add(stream_id)
+        else:
+            self._held.discard(stream_id)
+
+    def _write_stream_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
+    ) -> None:
+        """Danger: the library doubles a window whenever half of it has come, whoever reads what came. An
+        answer of 32 MB would be here at once, for a client that takes it by the minute."""
+        number = stream.stream_id
+        if number is not None and number % 4 == 0 and stream.max_stream_data_local:
+            if number in self._held:
+                return
+            wanted = stream.receiver.highest_offset + ANSWER_WINDOW
+            if wanted < stream.max_stream_data_local + ANSWER_WINDOW // 2:
+                wanted = stream.max_stream_data_local
+            if wanted == stream.max_stream_data_local_sent:
+                return
+            stream.max_stream_data_local = wanted
+            buffer = builder.start_frame(
+                QuicFrameType.MAX_STREAM_DATA,
+                capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+                handler=self._on_max_stream_data_delivery,
+                handler_args=(stream,),
+            )
+            buffer.push_uint_var(number)
+            buffer.push_uint_var(wanted)
+            stream.max_stream_data_local_sent = wanted
+            return
+        super()._write_stream_limits(builder, space, stream)
+
+
+def client_settings(authority: str) -> QuicConfiguration:
+    """The library's settings for connections to servers whose certificates are signed by an authority in
+    `authority`, a PEM file. Raises OSError if it can't be read, ValueError if it can't be used."""
+    data = Path(authority).read_bytes()
+    if b"-----BEGIN CERTIFICATE-----" not in data:
+        raise ValueError(f"{authority}: has no CERTIFICATE in PEM form")
+    settings = QuicConfiguration(
+        is_client=True,
+        alpn_protocols=ALPN,
+        connection_id_length=ID_BYTES,
+        idle_timeout=IDLE_S,
+        max_data=CONNECTION_WINDOW,
+        max_stream_data=ANSWER_WINDOW,
+        max_datagram_size=1200,
+        supported_versions=[QuicProtocolVersion.VERSION_1],
+    )
+    settings.load_verify_locations(cadata=data)
+    return settings
 
 
 def server_settings(certificate: str, key: str) -> tuple[QuicConfiguration, bytes]:
@@ -154,4 +329,16 @@
     return bytes([0x40 | os.urandom(1)[0] & 0x3F]) + os.urandom(size - 17) + token if size >= 21 else b""
 
 
-__all__ = ["Http3", "NetworkAddress", "Quic", "server_settings", "stateless_reset"]
+__all__ = [
+    "Away",
+    "Http3",
+    "Http3Client",
+    "Looked",
+    "Malformed",
+    "NetworkAddress",
+    "Quic",
+    "QuicClient",
+    "client_settings",
+    "server_settings",
+    "stateless_reset",
+]
--- a/cloverrouter/lab/quic.py
+++ b/cloverrouter/lab/quic.py
@@ -1,12 +1,14 @@
-"""A scripted HTTP/3 client on loopback, on either of two QUIC libraries: it does and says exactly what a test
-tells it, also what no honest client would."""
+"""A scripted HTTP/3 client and server on loopback, on either of two QUIC libraries: they do and say exactly
+what a test tells them, also what no honest peer would."""
 
 from __future__ import annotations
 
 import asyncio
 import importlib
+import inspect
 import socket
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import SimpleNamespace
@@ -33,6 +35,11 @@
     )
 
 
+def goaway(bound: int) -> bytes:
+    """The frame (RFC 9114, 7.2.6), with an integer of eight bytes."""
+    return b"\x07\x08" + (bound | 3 << 62).to_bytes(8, "big")
+
+
 @dataclass
 class Reply:
     """What has come on one stream."""
@@ -224,3 +231,219 @@
             reply.ended = told.stream_ended
         elif type(told).__name__ == "GoawayReceived":
             self.away.append(told.stream_id)
+
+
+# The server's side
+
+
+@dataclass(eq=False)
+class Asked:
+    """A request as a server got it, and the means to answer it in any way."""
+
+    peer: Peer
+    number: int
+    fields: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    ended: bool = False
+
+    @property
+    def id(self) -> str:
+        return self.fields[b"x-request-id"].decode()
+
+    def head(self, status: int = 200, end: bool = False, **extra: str) -> None:
+        told = [(b":status", b"%d" % status)]
+        told += [(name.replace("_", "-").encode(), value.encode()) for name, value in extra.items()]
+        self.peer.http.send_headers(self.number, told, end)
+        self.peer.flush()
+
+    def data(self, body: bytes, end: bool = False) -> None:
+        self.peer.http.send_data(self.number, body, end)
+        self.peer.flush()
+
+    def answer(self, body: bytes = b"done", status: int = 200, **extra: str) -> None:
+        self.head(status, **{"content_length": str(len(body)), **extra})
+        self.data(body, end=True)
+
+    def raw(self, data: bytes, end: bool = False) -> None:
+        """Bytes of the stream below HTTP/3's frames."""
+        self.peer.quic.send_stream_data(self.number, data, end)
+        self.peer.flush()
+
+    def reset(self, code: int) -> None:
+        self.peer.quic.reset_stream(self.number, code)
+        self.peer.flush()
+
+    def stop(self, code: int) -> None:
+        self.peer.quic.stop_stream(self.number, code)
+        self.peer.flush()
+
+
+class Peer:
+    """One connection of a client, as its server has it."""
+
+    def __init__(self, host: QuicHost, quic: Any, address: Address) -> None:
+        self.host, self.quic, self.address = host, quic, address
+        self.http: Any = None
+        self.asked: dict[int, Asked] = {}
+        self.over: Any = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def receive(self, data: bytes) -> None:
+        self.quic.receive_datagram(data, self.address, now=time.monotonic())
+        self._happened()
+        self.flush()
+
+    def flush(self) -> None:
+        now_s = time.monotonic()
+        for data, _ in self.quic.datagrams_to_send(now=now_s):
+            self.host.send(data, self.address)
+        self.stop_timer()
+        due_s = self.quic.get_timer()
+        if due_s is not None and self.over is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(max(0.0, due_s - now_s) + 0.001, self._on_timer)
+
+    def stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _on_timer(self) -> None:
+        self.quic.handle_timer(now=time.monotonic())
+        self._happened()
+        self.flush()
+
+    def _happened(self) -> None:
+        parts = self.host.library
+        while (event := self.quic.next_event()) is not None:
+            if isinstance(event, parts.quic.HandshakeCompleted):
+                self.http = parts.Http(self.quic)
+                self.host.handshakes += 1
+            elif isinstance(event, parts.quic.ConnectionTerminated):
+                self.over = event
+            elif isinstance(event, parts.quic.StreamReset):
+                self.host.resets[event.stream_id] = event.error_code
+            elif isinstance(event, parts.quic.StopSendingReceived):
+                self.host.stops[event.stream_id] = event.error_code
+            if self.http is not None:
+                for told in self.http.handle_event(event):
+                    self._said(told)
+
+    def _said(self, told: Any) -> None:
+        if not hasattr(told, "stream_ended") or told.stream_id % 4:
+            return
+        asked = self.asked.get(told.stream_id)
+        if asked is None:
+            asked = self.asked[told.stream_id] = Asked(self, told.stream_id)
+            self.host.begun.append(asked)
+        if isinstance(told, self.host.library.h3.HeadersReceived):
+            asked.fields.update(told.headers)
+        else:
+            asked.body += told.data
+        if told.stream_ended and not asked.ended:
+            asked.ended = True
+            self.host.took(asked)
+
+    def go_away(self, bound: int) -> None:
+        self.quic.send_stream_data(self.http._local_control_stream_id, goaway(bound))
+        self.flush()
+
+    def close(self, code: int = 0x100) -> None:
+        self.quic.close(error_code=code)
+        self.flush()
+
+
+Respond = Callable[[Asked], Awaitable[None] | None]
+
+
+def done(asked: Asked) -> None:
+    asked.answer()
+
+
+def silent(asked: Asked) -> None:
+    """No answer."""
+
+
+class QuicHost(asyncio.DatagramProtocol):
+    """A server that answers each request with `respond`, and remembers what it got. `files`: certificate and
+    key; `begun` has requests from their first byte on, `seen` when they are whole."""
+
+    def __init__(
+        self, name: str, files: tuple[str, str], respond: Respond = done, library_name: str = "aioquic",
+        **settings: Any,
+    ) -> None:  # fmt: skip
+        self.name, self.respond = name, respond
+        self.library = library(library_name)
+        self._settings = self.library.Settings(
+            is_client=False, **{"alpn_protocols": ["h3"], "max_datagram_frame_size": 65536, **settings}
+        )
+        self._settings.load_cert_chain(*files)
+        self.peers: dict[Address, Peer] = {}
+        self.begun: list[Asked] = []
+        self.seen: list[Asked] = []
+        self.resets: dict[int, int] = {}  # codes by stream, from the clients
+        self.stops: dict[int, int] = {}
+        self.handshakes = self.datagrams = 0
+        self.deaf = False  # its machine has vanished
+        self.port = 0
+        self._transport: asyncio.DatagramTransport | None = None
+        self._tasks: set[asyncio.Future[None]] = set()
+
+    async def start(self, port: int = 0) -> QuicHost:
+        """On a UDP port; one on HTTP/1.1 may have the TCP port of the same number."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=("127.0.0.1", port))
+        self._transport = transport
+        self.port = transport.get_extra_info("sockname")[1]
+        return self
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        from aioquic._buffer import Buffer
+        from aioquic.quic.packet import QuicPacketType, pull_quic_header
+
+        self.datagrams += 1
+        if self.deaf:
+            return
+        peer = self.peers.get(address)
+        if peer is None:
+            header = pull_quic_header(Buffer(data=data), host_cid_length=8)
+            if header.packet_type != QuicPacketType.INITIAL:
+                return
+            quic = self.library.Connection(
+                configuration=self._settings, original_destination_connection_id=header.destination_cid
+            )
+            peer = self.peers[address] = Peer(self, quic, address)
+        peer.receive(data)
+
+    def send(self, data: bytes, address: Address) -> None:
+        if self._transport is not None and not self.deaf:
+            self._transport.sendto(data, address)
+
+    def took(self, asked: Asked) -> None:
+        self.seen.append(asked)
+        told = self.respond(asked)
+        if inspect.isawaitable(told):
+            task = asyncio.ensure_future(told)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def forget(self) -> None:
+        """A new process at the same port: it knows no connection, and says so (RFC 9000, 10.3)."""
+        for peer in self.peers.values():
+            peer.stop_timer()
+            peer.over = "forgotten"
+            token = peer.quic._host_cids[0].stateless_reset_token
+            self.send(b"\x41" + bytes(range(30)) + token, peer.address)
+        self.peers.clear()
+
+    def close(self) -> None:
+        """The process ends, without a word."""
+        for peer in self.peers.values():
+            peer.stop_timer()
+        for task in self._tasks:
+            task.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def entry(self, state: str = "active") -> dict[str, Any]:
+        return {"id": self.name, "addr": f"127.0.0.1:{self.port}", "zone": "a", "cell": 1, "state": state,
+                "weight": 1.0, "started_ms": 0}  # fmt: skip
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -172,7 +172,7 @@
         self,
         settings: Settings,
         seed: int,
-        upstream: Carrier,
+        carrier: Carrier,
         subscribe: Callable[[], None],
         crash: Callable[[BaseException], None],
         loop: Loop | None = None,
@@ -183,7 +183,7 @@
         self._settings = settings
         self._longest_ms = longest_ms(settings)
         self._balancer = Balancer(settings, seed)
-        self._upstream = upstream
+        self.carrier = carrier
         self._subscribe = subscribe
         self._crash = crash
         self._addresses: dict[str, Address] = {}
@@ -415,7 +415,7 @@
         attempt = request.out[number] = Try(request, number, host, self._now_ms)
         if upload is None or upload.ended:  # else its time runs from the body's last byte
             self._set_time_out(attempt, timeout_ms)
-        attempt.exchange = self._upstream.send(
+        attempt.exchange = self.carrier.send(
             host,
             request.call,
             timeout_ms,
@@ -507,10 +507,10 @@
                 self._addresses[name] = entry.address
             else:
                 self._addresses.pop(name, None)
-        self._upstream.keep_only(set(self._addresses.items()))
+        self.carrier.keep_only(set(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
         for host in opened_ahead(before, set(self._addresses.items()), crowded(self._settings)):
-            self._upstream.open_ahead(host)
+            self.carrier.open_ahead(host)
         # Danger: a send to a host that drains, still connecting now, could go out after the grace.
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -91,11 +91,27 @@
     alt_svc_s: Annotated[int, Meta(ge=1, le=604_800, description="seconds from 1 to 604800")] = 3600
 
 
+class Http3Servers(Struct, frozen=True):
+    """`[http3_servers]`: servers that are asked by HTTP/3, at the UDP port of their listed port's number."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    servers: Annotated[
+        tuple[str, ...], Meta(max_length=1000, description="a list of up to 1000 servers' ids")
+    ] = ()
+    authority: Annotated[str, Meta(max_length=4096, description="a PEM file's absolute path")] = ""
+    name: Annotated[
+        str, Meta(pattern="^[A-Za-z0-9.-]{0,253}$", description="a host's name, or empty")
+    ] = ""
+    fallback: Annotated[bool, Meta(description="true or false")] = True
+    connections: Annotated[int, Meta(ge=1, le=1000, description="a whole number from 1 to 1000")] = 64
+
+
 class Site(Struct, frozen=True):
     control: Control = Control()
     state: State = State()
     vrrp: Vrrp = Vrrp()
     http3: Http3 = Http3()
+    http3_servers: Http3Servers = Http3Servers()
 
 
 class SiteError(FileError):
@@ -125,6 +141,10 @@
             faults.append(Fault(f"{name}.directory", f"is {folder!r}", right))
     faults += _vrrp_faults(site.vrrp)
     faults += _http3_faults(site.http3)
+    own = site.http3_servers
+    if own.enabled and not own.authority.startswith("/"):
+        right = "must be an absolute path: whoever answers at a server's address would be believed"
+        faults.append(Fault("http3_servers.authority", f"is {own.authority!r}", right))
     if len(os.fsencode(site.control.socket)) > MOST_PATH:
         text = f"is too long: the socket's path would have {len(os.fsencode(site.control.socket))} bytes"
         faults.append(Fault("control.directory", text, f"at most {MOST_PATH} with /{SOCKET}"))
