--- a/cloverrouter/http3/wire.py
+++ b/cloverrouter/http3/wire.py
@@ -24,7 +24,7 @@
 )
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import MAX_STREAM_DATA_FRAME_CAPACITY, NetworkAddress, QuicConnection
-from aioquic.quic.events import QuicEvent
+from aioquic.quic.events import QuicEvent, StreamDataReceived
 from aioquic.quic.packet import QuicFrameType, QuicProtocolVersion
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
@@ -159,32 +159,91 @@
     why: str
 
 
+class BadId(ProtocolError):
+    error_code = ErrorCode.H3_ID_ERROR
+
+
+class Goaways:
+    """Finds GOAWAY on a control stream, whose bytes the library throws away. `feed` gives the ids."""
+
+    def __init__(self) -> None:
+        self._buffer = b""
+        self._skip = 0  # of the payload of another frame
+        self._typed = False
+
+    @property
+    def begun(self) -> bool:
+        return self._typed
+
+    def feed(self, data: bytes) -> list[int]:
+        """Raises `BadId` for a GOAWAY without an id."""
+        found = []
+        skipped = min(self._skip, len(data))
+        self._skip -= skipped
+        self._buffer += data[skipped:]
+        while self._buffer and not self._skip:
+            buffer = Buffer(data=self._buffer)
+            try:
+                if not self._typed:
+                    buffer.pull_uint_var()
+                    self._typed = True
+                    self._buffer = self._buffer[buffer.tell() :]
+                    continue
+                kind, size = buffer.pull_uint_var(), buffer.pull_uint_var()
+            except BufferReadError:
+                break
+            begun = buffer.tell()
+            if kind != FrameType.GOAWAY:
+                # Danger: a payload may be as long as its sender likes, and is not ours to hold.
+                there = min(size, len(self._buffer) - begun)
+                self._skip = size - there
+                self._buffer = self._buffer[begun + there :]
+                continue
+            if size > 8:
+                raise BadId("GOAWAY with more than an id")
+            if len(self._buffer) < begun + size:
+                break
+            try:
+                found.append(Buffer(data=self._buffer[begun : begun + size]).pull_uint_var())
+            except BufferReadError as error:
+                raise BadId("GOAWAY has no id") from error
+            self._buffer = self._buffer[begun + size :]
+        return found
+
+
 class Http3Client(Bounded):
     """A client's side. The library knows neither GOAWAY nor errors of one stream alone."""
 
     def __init__(self, quic: QuicConnection) -> None:
         super().__init__(quic)
         self._bound: int | None = None
-        self._told: list[h3.H3Event] = []
+        self._goaways: dict[int, Goaways | None] = {}  # by stream that the server opened; None: no control
 
     def handle_event(self, event: QuicEvent) -> list[h3.H3Event]:
         found = super().handle_event(event)
-        told, self._told = self._told, []
-        return found + told
-
-    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
-        if frame_type != FrameType.GOAWAY:
-            super()._handle_control_frame(frame_type, frame_data)
-            return
+        if isinstance(event, StreamDataReceived) and event.stream_id % 4 == 3 and not self._is_done:
+            found += self._control(event.stream_id, event.data)
+        return found
+
+    def _control(self, stream_id: int, data: bytes) -> list[h3.H3Event]:
+        reader = self._goaways.setdefault(stream_id, Goaways())
+        if reader is None:
+            return []
+        if data[:1] != b"\0" and not reader.begun:
+            self._goaways[stream_id] = None  # of another type (RFC 9114, 6.2): its bytes are no frames
+            return []
+        found: list[h3.H3Event] = []
         try:
-            bound = Buffer(data=frame_data).pull_uint_var()
-        except BufferReadError as error:
-            raise BadId("GOAWAY has no id") from error
-        # Danger: raised again, an id would call off what was said of requests that have gone elsewhere.
-        if bound % 4 or (self._bound is not None and bound > self._bound):
-            raise BadId("GOAWAY with an id that is no request's, or is above the last one")
-        self._bound = bound
-        self._told.append(Away(bound))
+            for bound in reader.feed(data):
+                # Danger: raised again, an id would call off what was said of requests that went elsewhere.
+                if bound % 4 or (self._bound is not None and bound > self._bound):
+                    raise BadId("GOAWAY with an id that is no request's, or is above the last one")
+                self._bound = bound
+                found.append(Away(bound))
+        except BadId as error:
+            self._is_done = True
+            self._quic.close(error_code=error.error_code, reason_phrase=error.reason_phrase)
+        return found
 
     def _receive_request_or_push_data(
         self, stream: H3Stream, data: bytes, stream_ended: bool
@@ -197,10 +256,6 @@
             return [Malformed(stream.stream_id, error.reason_phrase)]
 
 
-class BadId(ProtocolError):
-    error_code = ErrorCode.H3_ID_ERROR
-
-
 class QuicClient(Looked):
     """A client's connection: knows stateless resets, and can hold a stream's sender back."""
 
@@ -226,7 +281,7 @@
         sender = stream.sender
         if sender._reset_error_code is not None or sender._buffer_fin is None:
             return False
-        return sender.is_finished or (not sender._pending and not sender._pending_eof)
+        return sender.is_finished or (not len(sender._pending) and not sender._pending_eof)
 
     @property
     def idle_s(self) -> float:
--- a/cloverrouter/lab/peers.py
+++ b/cloverrouter/lab/peers.py
@@ -11,11 +11,11 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from cloverrouter.lab.process import LONG_S as LONG_S
 from cloverrouter.lab.process import ProxyProcess, own_address
@@ -249,10 +249,18 @@
         return Proxy(told, self.config.parent, None, environ, inherit=self._inherit)
 
 
+class Listable(Protocol):
+    """A server, whatever it speaks, that discovery can name."""
+
+    name: str
+
+    def entry(self, state: str = "active") -> dict[str, Any]: ...
+
+
 @asynccontextmanager
 async def running(
     discovery: Discovery,
-    hosts: list[Host],
+    hosts: Sequence[Listable],
     known: bool = True,
     ready: tuple[int, ...] = (200,),
     command: list[str] | str | None = None,
--- a/cloverrouter/lab/quic.py
+++ b/cloverrouter/lab/quic.py
@@ -250,9 +250,9 @@
     def id(self) -> str:
         return self.fields[b"x-request-id"].decode()
 
-    def head(self, status: int = 200, end: bool = False, **extra: str) -> None:
+    def head(self, status: int = 200, extra: dict[str, str] | None = None, end: bool = False) -> None:
         told = [(b":status", b"%d" % status)]
-        told += [(name.replace("_", "-").encode(), value.encode()) for name, value in extra.items()]
+        told += [(name.replace("_", "-").encode(), value.encode()) for name, value in (extra or {}).items()]
         self.peer.http.send_headers(self.number, told, end)
         self.peer.flush()
 
@@ -261,7 +261,7 @@
         self.peer.flush()
 
     def answer(self, body: bytes = b"done", status: int = 200, **extra: str) -> None:
-        self.head(status, **{"content_length": str(len(body)), **extra})
+        self.head(status, {"content_length": str(len(body)), **extra})
         self.data(body, end=True)
 
     def raw(self, data: bytes, end: bool = False) -> None:
@@ -384,6 +384,9 @@
         self.stops: dict[int, int] = {}
         self.handshakes = self.datagrams = 0
         self.deaf = False  # its machine has vanished
+        # Has an address prove itself first. Without, qh3 fails where the amplification limit leaves less than
+        # a packet (RFC 9000, 8.1).
+        self._retry = library_name == "qh3"
         self.port = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._tasks: set[asyncio.Future[None]] = set()
@@ -398,7 +401,7 @@
 
     def datagram_received(self, data: bytes, address: Address) -> None:
         from aioquic._buffer import Buffer
-        from aioquic.quic.packet import QuicPacketType, pull_quic_header
+        from aioquic.quic.packet import QuicPacketType, encode_quic_retry, pull_quic_header
 
         self.datagrams += 1
         if self.deaf:
@@ -408,8 +411,19 @@
             header = pull_quic_header(Buffer(data=data), host_cid_length=8)
             if header.packet_type != QuicPacketType.INITIAL:
                 return
+            asked, chosen = header.destination_cid, None
+            if self._retry:
+                if not header.token:
+                    told = encode_quic_retry(
+                        header.version or 1, b"chosenid", header.source_cid, asked, asked
+                    )
+                    self.send(told, address)
+                    return
+                asked, chosen = header.token, asked
             quic = self.library.Connection(
-                configuration=self._settings, original_destination_connection_id=header.destination_cid
+                configuration=self._settings,
+                original_destination_connection_id=asked,
+                retry_source_connection_id=chosen,
             )
             peer = self.peers[address] = Peer(self, quic, address)
         peer.receive(data)
--- a/tests/http3/test_rules.py
+++ b/tests/http3/test_rules.py
@@ -1,17 +1,34 @@
-"""The rules beneath the front alone: fields, streams, who may begin; tables, properties, simulated time."""
+"""The rules beneath front and carrier: fields, streams, who may begin, how attempts end, which connection;
+tables, properties, simulated time."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import Any
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cloverrouter.http3 import streams
+from cloverrouter.http3.attempts import Bad, End, Reply, outcome_of
 from cloverrouter.http3.doors import CROWDED_S, HANDSHAKE_S, MOST_UNPROVEN, TOKEN_S, Doors, Word
 from cloverrouter.http3.fields import Fields, Request, answer_fields, request_of
 from cloverrouter.http3.streams import FREE_BYTES, FROM_ANY, MOST_HANDED, Streams
+from cloverrouter.http3.ways import (
+    MOST_OF_A_SERVER,
+    MOST_REST_S,
+    MOST_STREAMS,
+    REST_S,
+    Speech,
+    choose,
+    leads_nowhere,
+)
+from cloverrouter.http3.wire import BadId, Goaways
+from cloverrouter.interface import Outcome
+from cloverrouter.lab.quic import goaway
 from cloverrouter.proxy.keeping import Keeping
-from cloverrouter.proxy.messages import MAX_BODY, MOST_BODY
+from cloverrouter.proxy.messages import MAX_BODY, MAX_HEAD, MOST_BODY
 
 PSEUDO = ((b":method", b"POST"), (b":scheme", b"https"), (b":authority", b"x"), (b":path", b"/a?obj=1"))
 HERE, THERE = ("127.0.0.1", 1000), ("127.0.0.1", 1001)
@@ -247,3 +264,163 @@
     assert Doors(9, b"key").reset_token(b"id") == Doors(1, b"key").reset_token(b"id")
     assert Doors(9, b"key").reset_token(b"id") != Doors(9, b"key").reset_token(b"ie")
     assert Doors(9, b"key").reset_token(b"id") != Doors(9, b"yek").reset_token(b"id")
+
+
+# The carrier's rules
+
+
+@pytest.mark.parametrize(
+    ("end", "code", "sent", "unsent"),
+    [
+        (End.NOT_UP, 0, Outcome.CONNECT_FAILED, Outcome.CONNECT_FAILED),
+        (End.AWAY, 0, Outcome.REJECTED, Outcome.REJECTED),
+        (End.RESET, 0x10B, Outcome.REJECTED, Outcome.REJECTED),
+        *[(End.RESET, n, Outcome.RESET, Outcome.CONNECT_FAILED) for n in (0x10C, 0x100, 0x102, 0, 2**60)],
+        (End.CLOSED, 0, Outcome.RESET, Outcome.CONNECT_FAILED),
+        (End.CLOSED, 0x10B, Outcome.RESET, Outcome.CONNECT_FAILED),  # of a connection it promises nothing
+        (End.MALFORMED, 0, Outcome.SPOILT, Outcome.CONNECT_FAILED),
+        (End.STALLED, 0, Outcome.SPOILT, Outcome.CONNECT_FAILED),
+    ],
+)  # fmt: skip
+def test_what_an_end_is_told_as(end: End, code: int, sent: Outcome, unsent: Outcome) -> None:
+    assert (outcome_of(end, True, code), outcome_of(end, False, code)) == (sent, unsent)
+
+
+OK_HEAD = [(b":status", b"200"), (b"content-length", b"4"), (b"x-server-load", b"queue=1")]
+
+
+@pytest.mark.parametrize(
+    ("steps", "why"),
+    [
+        ([b"four"], ""),
+        ([b"fo", b"ur"], ""),
+        ([b"fou"], "shorter"),
+        ([b"four!"], "longer"),
+        ([[(b":status", b"503")], b"four"], ""),  # fields behind the body are no second head
+        ([[(b":status", b"103")]], "shorter"),
+    ],
+)
+def test_an_answer_is_what_its_head_said(steps: list[Any], why: str) -> None:
+    reply = Reply()
+    assert not reply.head([(b":status", b"103")]) and reply.head(OK_HEAD)
+    try:
+        for step in steps:
+            reply.body(step) if isinstance(step, bytes) else reply.head(step)
+        reply.whole()
+        assert not why and (reply.status, bytes(reply.held), reply.report) == (200, b"four", b"queue=1")
+    except Bad as bad:
+        assert why and why in str(bad)
+
+
+@given(st.lists(st.one_of(
+    st.binary(max_size=9),
+    st.lists(st.tuples(st.sampled_from([b":status", b"content-length", b"x"]),
+                       st.sampled_from([b"200", b"103", b"4", b"-1", b"2x0", b"99999999999"]))),
+)))  # fmt: skip
+def test_any_answer_is_one_or_is_bad(steps: list[Any]) -> None:
+    reply = Reply()
+    try:
+        for step in steps:
+            reply.body(step) if isinstance(step, bytes) else reply.head(step)
+        reply.whole()
+        assert 200 <= reply.status <= 999 and reply.length in (None, reply.came)
+    except Bad:
+        pass
+
+
+def test_bounds_of_an_answer() -> None:
+    with pytest.raises(Bad, match="head"):
+        Reply().head([(b":status", b"200"), (b"x", b"y" * 2 * MAX_HEAD)])
+    with pytest.raises(Bad, match="too large"):
+        Reply().head([(b":status", b"200"), (b"content-length", b"%d" % (MOST_BODY + 1))])
+    reply = Reply()
+    reply.head([(b":status", b"200")])
+    reply.came = MOST_BODY
+    with pytest.raises(Bad, match="too large"):
+        reply.body(b"x")
+    with pytest.raises(Bad, match="without"):
+        Reply().body(b"x")
+
+
+@dataclass
+class SomeLane:
+    name: str
+    up: bool = True
+    usable: bool = True
+    load: int = 0
+    room: int = 100
+
+
+@pytest.mark.parametrize(
+    ("lanes", "fresh", "may_open", "chosen", "open"),
+    [
+        ([], False, True, None, True),
+        ([], False, False, None, False),
+        ([SomeLane("a", load=3), SomeLane("b", load=2)], False, True, "b", False),
+        ([SomeLane("a", usable=False)], False, True, None, True),
+        ([SomeLane("a", room=0)], False, True, None, True),
+        ([SomeLane("a", load=MOST_STREAMS)], False, True, None, True),
+        ([SomeLane("a")], True, True, None, True),  # only a new one tells whether any comes up
+        ([SomeLane("a")], True, False, None, False),
+        ([SomeLane("a", up=False, room=0)], False, True, "a", False),  # one handshake, not one for each
+        ([SomeLane("a", up=False), SomeLane("b", load=9)], False, True, "b", False),
+        ([SomeLane("a", room=0)] * MOST_OF_A_SERVER, False, True, None, False),
+        ([SomeLane("a", usable=False)] * MOST_OF_A_SERVER, False, True, None, True),
+    ],
+)
+def test_on_which_connection_a_request_goes(
+    lanes: list[SomeLane], fresh: bool, may_open: bool, chosen: str | None, open: bool
+) -> None:
+    choice = choose(lanes, fresh, may_open)
+    assert (choice.lane.name if choice.lane else None, choice.open) == (chosen, open)
+
+
+def test_http3_rests_longer_with_each_failure_and_not_for_those_begun_before_it() -> None:
+    speech, now_s = Speech(frozenset({"a", "b"})), 100.0
+    assert speech.by_http3("a", now_s) and not speech.by_http3("c", now_s)
+    rests = []
+    for _ in range(9):
+        for _ in range(5):  # five connections were under way
+            speech.failed("a", now_s)
+        assert not speech.by_http3("a", now_s) and speech.by_http3("b", now_s)
+        rests.append(speech.resting_s("a", now_s))
+        now_s += rests[-1]
+        assert speech.by_http3("a", now_s)
+    assert rests == [min(MOST_REST_S, REST_S * 2**n) for n in range(9)]
+    speech.came_up("a")
+    speech.failed("a", now_s)
+    assert speech.resting_s("a", now_s) == REST_S
+    speech.keep_only(["b"])
+    assert speech.by_http3("a", now_s)
+    alone = Speech(fallback=False)
+    alone.failed("a", 0.0)
+    assert alone.by_http3("a", 0.0) and not alone.resting_s("a", 0.0)
+
+
+def test_a_connection_on_which_nothing_came_since_leads_nowhere() -> None:
+    assert leads_nowhere(1.0, 2.0) and not leads_nowhere(2.1, 2.0)
+
+
+@given(
+    st.lists(st.one_of(st.integers(0, 2**40), st.binary(max_size=70))),
+    st.lists(st.integers(1, 9), max_size=60),
+)
+def test_goaways_are_found_however_the_control_stream_is_cut(frames: list[Any], cuts: list[int]) -> None:
+    data = b"\0\x04\x00"  # the stream's type, empty SETTINGS
+    for told in frames:
+        if isinstance(told, int):
+            data += goaway(told)
+        else:
+            data += b"\x21" + (len(told) | 0x4000).to_bytes(2, "big") + told  # of a kind to be passed over
+    reader, found, at = Goaways(), list[int](), 0
+    for cut in [*cuts, len(data)]:
+        found += reader.feed(data[at : at + cut])
+        at += cut
+    assert found == [told for told in frames if isinstance(told, int)]
+    assert len(reader._buffer) < 20  # what is passed over is not held
+
+
+@pytest.mark.parametrize("payload", [b"", b"\xff", b"\0" * 9])
+def test_a_goaway_without_an_id_is_an_error(payload: bytes) -> None:
+    with pytest.raises(BadId):
+        Goaways().feed(b"\0\x07" + bytes([len(payload)]) + payload)
--- /dev/null
+++ b/tests/http3/test_servers.py
@@ -0,0 +1,240 @@
+"""The whole proxy before servers of both kinds: one set of rules, whichever protocol a server is asked by."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverrouter.lab.certificates import Authority
+from cloverrouter.lab.peers import LONG_S, Discovery, Host, Listable, Proxy, running
+from cloverrouter.lab.quic import Asked, QuicHost, Respond, done, silent
+from tests.standins.appliance import Box
+
+SITE = """
+[control]
+enabled = true
+directory = "{folder}/control"
+[http3_servers]
+enabled = true
+servers = {servers}
+authority = "{authority}"
+name = "registry"
+fallback = {fallback}
+"""
+
+
+class Scene:
+    """`hosts`: those on HTTP/3."""
+
+    def __init__(self, folder: Path, hosts: int, respond: Respond, fallback: tuple[str, ...]) -> None:
+        self.authority = Authority(folder)
+        files = self.authority.issue("registry", "server")
+        self.hosts = [QuicHost(f"q{i}", files, respond) for i in range(hosts)]
+        self.box = Box(folder, False, "")
+        names = [*(host.name for host in self.hosts), *fallback]
+        told = {"folder": folder, "servers": names, "authority": self.authority.file}
+        self.box.file.write_text(SITE.format(**told, fallback=str(bool(fallback)).lower()))
+        self.discovery = Discovery()
+        self.proxy: Proxy
+
+    async def servers(self) -> dict[str, dict[str, Any]]:
+        line = await self.box.line()
+        told = await line.result("servers")
+        return {server["server"]: server for server in told["servers"]}
+
+
+@asynccontextmanager
+async def scene(
+    folder: Path, hosts: int = 1, respond: Respond = done, others: Sequence[Listable] = (),
+    fallback: tuple[str, ...] = (),
+) -> AsyncIterator[Scene]:  # fmt: skip
+    """`fallback`: names of others that are taken to speak HTTP/3, and may be asked by HTTP/1.1."""
+    found = Scene(folder, hosts, respond, fallback)
+    for host in found.hosts:
+        await host.start()
+    every: list[Listable] = [*found.hosts, *others]
+    async with running(await found.discovery.start(), every, environ=found.box.environ) as proxy:
+        found.proxy = proxy
+        yield found
+    for host in found.hosts:
+        host.close()
+
+
+def test_both_kinds_serve_and_are_told_apart(tmp_path: Path) -> None:
+    async def run() -> None:
+        plain = await Host("h0").start()
+        async with scene(tmp_path, others=[plain]) as s:
+            (quic,), count = s.hosts, 0
+            clients = [await s.proxy.client() for _ in range(4)]
+            async with asyncio.timeout(LONG_S):
+                while not (quic.seen and plain.seen and count > 40):
+                    target = "/unsafe" if count % 8 else "/keyed"
+                    answers = await asyncio.gather(*(client.ask(target) for client in clients))
+                    assert [answer.status for answer in answers] == [200] * 4
+                    count += 4
+            assert len(quic.seen) + len(plain.seen) == count
+            assert quic.handshakes == 1
+            told = await s.servers()
+            assert (told["q0"]["protocol"], told["h0"]["protocol"]) == ("HTTP/3", "HTTP/1.1")
+            assert told["q0"]["served"] == len(quic.seen) and told["h0"]["served"] == len(plain.seen)
+            status = await (await s.box.line()).result("status")
+            assert status["protocols"]["HTTP/3 to servers"]["opened"] == 1
+
+    asyncio.run(run())
+
+
+def breaks(how: str) -> Respond:
+    """Ends the first attempt of each request; a second one is served."""
+    met: set[str] = set()
+
+    def respond(asked: Asked) -> None:
+        if asked.id in met:
+            asked.answer()
+            return
+        met.add(asked.id)
+        match how:
+            case "rejected":
+                asked.reset(0x10B)
+            case "goaway":
+                asked.peer.go_away(asked.number)
+            case "cancelled":
+                asked.reset(0x10C)
+            case "closed":
+                asked.peer.close()
+            case "spoilt":
+                asked.head(200, {"content_length": "9"})
+                asked.data(b"four", end=True)
+            case "turned away":
+                asked.answer(status=503, x_not_processed="1")
+
+    return respond
+
+
+@pytest.mark.parametrize(
+    ("how", "never_ran"),
+    [
+        ("rejected", True),
+        ("goaway", True),
+        ("turned away", True),
+        ("cancelled", False),
+        ("closed", False),
+        ("spoilt", False),
+    ],
+)
+def test_an_entry_register_is_sent_once_and_refused_only_if_it_never_ran(
+    tmp_path: Path, how: str, never_ran: bool
+) -> None:
+    """A keyed request is repeated in either case, and reaches another server."""
+
+    async def run() -> None:
+        async with scene(tmp_path, 3, breaks(how)) as s:
+            client = await s.proxy.client()
+            name = client.next_name
+            assert (await client.ask("/unsafe")).status == (503 if never_ran else 502)
+            assert [asked.id for host in s.hosts for asked in host.seen] == [name]
+            client = await s.proxy.client()
+            name = client.next_name
+            assert (await client.ask("/keyed")).status == 200
+            assert [asked.id for host in s.hosts for asked in host.seen].count(name) == 2
+            line = await s.box.line()
+            failures = (await line.result("failures"))["failures"]
+            assert len(failures) == (0 if never_ran else 1)
+
+    asyncio.run(run())
+
+
+def test_a_server_without_http3_is_asked_by_http1_where_that_is_allowed(tmp_path: Path) -> None:
+    """Its UDP port is closed. The first attempt never ran, and is repeated; nothing is lost, and nothing
+    speaks against the server."""
+
+    async def run() -> None:
+        plain, other = await Host("p0").start(), await Host("h0").start()
+        async with scene(tmp_path, hosts=0, others=[plain, other], fallback=("p0",)) as s:
+            client = await s.proxy.client()
+            async with asyncio.timeout(LONG_S):
+                while not plain.seen:
+                    assert (await client.ask("/keyed")).status == 200
+                    await asyncio.sleep(0.02)
+            told = (await s.servers())["p0"]
+            assert told["protocol"].startswith("HTTP/1.1: HTTP/3 failed")
+            assert told["belief"] == "present" and told["healthy"]
+
+    asyncio.run(run())
+
+
+def test_a_drained_server_ends_what_it_has_and_gets_nothing_new(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with scene(tmp_path, hosts=2, respond=silent) as s:
+            clients = [await s.proxy.client() for _ in range(2)]  # one for each: nothing is known of them yet
+            for client in clients:
+                client.send("/unsafe")
+            async with asyncio.timeout(LONG_S):
+                while sum(len(host.seen) for host in s.hosts) < 2:
+                    await asyncio.sleep(0.01)
+            first, second = s.hosts
+            counts = len(first.seen), len(second.seen)
+            assert all(counts)
+            await s.discovery.change(first.entry("leaving"))
+            async with asyncio.timeout(LONG_S):
+                while (await s.servers())["q0"]["state"] == "active":
+                    await asyncio.sleep(0.01)
+            second.respond = done
+            second.seen[0].answer(b"at last")
+            late = await s.proxy.client()
+            for _ in range(10):
+                assert (await late.ask("/unsafe")).status == 200
+            assert len(first.seen) == counts[0]
+            first.seen[0].answer(b"at last")
+            assert [(await client.read()).body for client in clients] == [b"at last"] * 2
+            # Both ends of its connections are closed: the proxy holds nothing of a host that drains.
+            async with asyncio.timeout(LONG_S):
+                while any(peer.over is None for peer in first.peers.values()):
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+
+
+def test_the_authority_is_replaced_in_service(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with scene(tmp_path) as s:
+            client = await s.proxy.client()
+            assert (await client.ask("/unsafe")).status == 200
+            line = await s.box.line()
+            good = s.authority.file.read_bytes()
+            s.authority.file.write_text("no certificate")
+            s.proxy.process.send_signal(signal.SIGHUP)
+
+            async def alarms() -> list[str]:
+                return [text for text in (await line.result("status"))["alarms"] if "http3_servers" in text]
+
+            async with asyncio.timeout(LONG_S):
+                while not await alarms():
+                    await asyncio.sleep(0.02)
+            assert "has no CERTIFICATE in PEM form" in (await alarms())[0]
+            assert (await client.ask("/unsafe")).status == 200  # what was in force stays
+            s.authority.file.write_bytes(good)
+            s.proxy.process.send_signal(signal.SIGHUP)
+            async with asyncio.timeout(LONG_S):
+                while await alarms():
+                    await asyncio.sleep(0.02)
+            assert (await client.ask("/unsafe")).status == 200
+
+    asyncio.run(run())
+
+
+def test_a_start_without_a_usable_authority_says_so(tmp_path: Path) -> None:
+    async def run() -> None:
+        found = Scene(tmp_path, 0, done, ())
+        found.authority.file.write_text("nothing of the kind")
+        host = await Host("h0").start()
+        with pytest.raises(RuntimeError, match=r"\[http3_servers\]: .* has no CERTIFICATE in PEM form"):
+            async with running(await found.discovery.start(), [host], environ=found.box.environ):
+                pass
+
+    asyncio.run(run())
