--- a/benchmarks/http3.py
+++ b/benchmarks/http3.py
@@ -4,8 +4,9 @@
 
 `libraries`: both QUIC libraries in memory, no socket, the answer made at once: CPU of the server's side.
 `cost`: CPU time and memory of the proxy's process before eight stand-in servers, by protocol and connections.
-`mixed`: an open load of 570 requests a second, both classes, over ten servers on HTTP/1.1 that fail and
-pause; by HTTP/1.1 alone, half and half, and by HTTP/3 alone, with 2% of the datagrams lost each way.
+`mixed`: an open load of 570 requests a second, both classes, over ten servers that fail and pause; clients
+and servers by HTTP/1.1 alone, mixed, and by HTTP/3 alone, with a share of the datagrams lost each way.
+`flood`: an even load by HTTP/1.1 and by HTTP/3, without and with forged first packets on the UDP port.
 All of one call on one machine; only ratios within it are to be compared.
 """
 
@@ -17,22 +18,23 @@
 import os
 import random
 import resource
+import socket
 import tempfile
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from cloverrouter.lab.certificates import Authority
-from cloverrouter.lab.peers import Client, Discovery, Host, Proxy, Seen, ok, running
-from cloverrouter.lab.quic import LIBRARIES, QuicClient, library
+from cloverrouter.lab.peers import Client, Discovery, Host, Listable, Proxy, Seen, ok, running
+from cloverrouter.lab.quic import LIBRARIES, Asked, QuicClient, QuicHost, library
 from cloverrouter.lab.relay import Nat
 from tests.http3.test_proxy import Both, both
 
 ROOM = {"cores": 1.0, "memory_mb": 1024, "sockets": 16_000}
 RATE = 570  # requests a second
-LOSS = 0.02
 TICKS = os.sysconf("SC_CLK_TCK")
 ANSWER = [(b":status", b"200"), (b"content-type", b"application/json"), (b"content-length", b"200")]
 
@@ -219,49 +221,104 @@
 # Both under load
 
 
-async def faulty_host(name: str, runs: Counter[str], rng: random.Random) -> Host:
+class Faulty:
     """5 to 30 ms of work; one request in 50 fails or is cut off after it ran, now and then all wait 0.4 s."""
-    state = {"pause_until": 0.0}
 
-    async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, runs: Counter[str], rng: random.Random) -> None:
+        self._runs, self._rng, self._pause_until = runs, rng, 0.0
+
+    async def work(self, name: str, keyed: bool) -> str:
         now_s = time.monotonic()
-        if rng.random() < 0.002:
-            state["pause_until"] = now_s + 0.4
-        await asyncio.sleep(max(0.0, state["pause_until"] - now_s) + rng.uniform(0.005, 0.03))
-        if "idempotency-key" not in seen.message.headers:
-            runs[seen.message.headers["x-request-id"]] += 1  # a keyed repeat is dropped by real servers
-        fate = rng.random()
-        if fate < 0.01:
-            writer.transport.abort()
-        elif fate < 0.02:
-            writer.write(b"HTTP/1.1 500 Wrong\r\nContent-Length: 0\r\n\r\n")
-        else:
-            writer.write(ok(b"y" * 200, b"X-Server-Load: inflight=3,queue=1\r\n"))
-
-    return await Host(name, respond).start()
-
-
-async def mixed(seconds: float, share: float, seed: int) -> None:
-    """An open load; `share` of it by HTTP/3, through a box that loses datagrams."""
+        if self._rng.random() < 0.002:
+            self._pause_until = now_s + 0.4
+        await asyncio.sleep(max(0.0, self._pause_until - now_s) + self._rng.uniform(0.005, 0.03))
+        if not keyed:
+            self._runs[name] += 1  # a keyed repeat is dropped by real servers
+        fate = self._rng.random()
+        return "cut off" if fate < 0.01 else "error" if fate < 0.02 else "ok"
+
+    async def by_http1(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        told = seen.message.headers
+        match await self.work(told["x-request-id"], "idempotency-key" in told):
+            case "cut off":
+                writer.transport.abort()
+            case "error":
+                writer.write(b"HTTP/1.1 500 Wrong\r\nContent-Length: 0\r\n\r\n")
+            case _:
+                writer.write(ok(b"y" * 200, b"X-Server-Load: inflight=3,queue=1\r\n"))
+
+    async def by_http3(self, asked: Asked) -> None:
+        how = await self.work(asked.id, b"idempotency-key" in asked.fields)
+        if asked.peer.over is not None or asked.number in asked.peer.host.stops:
+            return
+        with suppress(Exception):  # the proxy may have called it off in this very step
+            match how:
+                case "cut off":
+                    asked.reset(0x102)
+                case "error":
+                    asked.answer(b"", 500)
+                case _:
+                    asked.answer(b"y" * 200, x_server_load="inflight=3,queue=1")
+
+
+class Behind:
+    """A server on HTTP/3 whose datagrams pass a box that loses some."""
+
+    def __init__(self, host: QuicHost, nat: Nat) -> None:
+        self.name, self._host, self._nat = host.name, host, nat
+
+    def entry(self, state: str = "active") -> dict[str, Any]:
+        return {**self._host.entry(state), "addr": "{}:{}".format(*self._nat.address)}
+
+
+CARRIER = """
+[http3_servers]
+enabled = true
+servers = {names}
+authority = "{authority}"
+name = "localhost"
+fallback = false
+"""
+
+
+async def mixed(seconds: float, clients: float, servers: float, seed: int, loss: float) -> None:
+    """An open load; a share of its clients and of ten servers on HTTP/3, through boxes that lose packets."""
     rng = random.Random(seed)
     runs: Counter[str] = Counter()
     answers: Counter[int] = Counter()
     took_ms: list[float] = []
+    nats: list[Nat] = []
     with tempfile.TemporaryDirectory() as folder:
         found = Both(Path(folder))
-        hosts = [await faulty_host(f"s-{i}", runs, random.Random(seed + i)) for i in range(10)]
-        more = {"limits": ROOM}
-        environ = found.box.environ
+        hosts: list[Listable] = []
+        quics: list[QuicHost] = []
+        for i in range(10):
+            faulty = Faulty(runs, random.Random(seed + i))
+            if i >= 10 * servers:
+                hosts.append(await Host(f"s-{i}", faulty.by_http1).start())
+                continue
+            quics.append(await QuicHost(f"s-{i}", found.files, faulty.by_http3).start())
+            nats.append(await Nat(seed + i, ("127.0.0.1", quics[-1].port)).start())
+            hosts.append(Behind(quics[-1], nats[-1]))
+        if quics:
+            names = [host.name for host in quics]
+            with found.box.file.open("a") as file:
+                file.write(CARRIER.format(names=names, authority=found.authority.file))
+        more, environ = {"limits": ROOM}, found.box.environ
         async with running(await Discovery().start(), hosts, environ=environ, more=more) as proxy:
-            nat = await Nat(seed, ("127.0.0.1", found.port)).start()
-            nat.out.loss = nat.home.loss = LOSS
-            by3 = [await QuicClient(nat.address, found.authority.file).open() for _ in range(8)]
+            nats.append(await Nat(seed, ("127.0.0.1", found.port)).start())
+            for nat in nats:
+                nat.out.loss = nat.home.loss = loss
+            by3 = [await QuicClient(nats[-1].address, found.authority.file).open() for _ in range(8)]
             idle: list[Client] = []
 
             async def ask(target: str, http3: bool, at_s: float) -> None:
                 if http3:
                     client = rng.choice(by3)
-                    status = (await client.ask(target, b"x" * 100)).status
+                    reply = await client.ask(target, b"x" * 100)
+                    status = reply.status
+                    if not status:
+                        raise ConnectionError(f"reset {reply.reset}, connection {client.over}")
                 else:
                     plain = idle.pop() if idle else await proxy.client()
                     answer = await plain.ask(target, body=b"x" * 100)
@@ -272,27 +329,88 @@
                 if status == 200:
                     took_ms.append((time.monotonic() - at_s) * 1000)
 
+            cpu_before = cpu_s(proxy)
             tasks, begun_s, due_s = [], time.monotonic(), 0.0
             while due_s < seconds:
                 due_s += rng.expovariate(RATE)
                 target = "/unsafe" if rng.random() < 0.5 else f"/keyed?obj={rng.randrange(500)}"
-                by_http3 = rng.random() < share
+                by_http3 = rng.random() < clients
                 await asyncio.sleep(max(0.0, begun_s + due_s - time.monotonic()))
                 tasks.append(asyncio.create_task(ask(target, by_http3, begun_s + due_s)))
             results = await asyncio.gather(*tasks, return_exceptions=True)
+            cpu_share = (cpu_s(proxy) - cpu_before) / (time.monotonic() - begun_s)
             lost = [r for r in results if r is not None]
             for client in by3:
                 client.close()
-            nat.close()
+            for nat in nats:
+                nat.close()
+            for host in quics:
+                host.close()
     took_ms.sort()
     doubled = sum(count > 1 for count in runs.values())
     at = {share: took_ms[int(len(took_ms) * share)] for share in (0.5, 0.95, 0.99)}
     print(
-        f"{share:4.0%} by HTTP/3: {len(tasks)} requests, answers {dict(answers)}, none for {len(lost)}, "
-        f"entry-registers run twice {doubled}; p50 {at[0.5]:.0f} p95 {at[0.95]:.0f} p99 {at[0.99]:.0f} ms; "
-        f"datagrams lost {nat.out.lost + nat.home.lost}",
-        flush=True,
-    )
+        f"clients {clients:4.0%}, servers {servers:4.0%} by HTTP/3: {len(tasks)} requests, answers "
+        f"{dict(answers)}, none for {len(lost)}, entry-registers run twice {doubled}; p50 {at[0.5]:.0f} "
+        f"p95 {at[0.95]:.0f} p99 {at[0.99]:.0f} ms; proxy's CPU {cpu_share:.0%}; datagrams lost "
+        f"{sum(nat.out.lost + nat.home.lost for nat in nats)}",
+        *map(str, lost[:3]), sep="; ", flush=True,
+    )  # fmt: skip
+
+
+# A flood
+
+FLOOD_RATE = 5000  # forged first packets a second
+
+
+async def flood(seconds: float) -> None:
+    """What each protocol's clients notice of it, in one run on one proxy."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with both(Path(folder), 200, 8, {"limits": ROOM}) as b:
+            http3, http1 = await b.client(), await b.proxy.client()
+            first = QuicClient(("127.0.0.1", b.port), b.authority.file, "aioquic")
+            first.quic.connect(("127.0.0.1", b.port), now=time.monotonic())
+            initial = first.quic.datagrams_to_send(now=time.monotonic())[0][0]
+            for rate in (0, FLOOD_RATE):
+                stop = asyncio.Event()
+                flooding = asyncio.create_task(forge(b.port, initial, rate, stop))
+                took: dict[str, list[float]] = {"HTTP/1.1": [], "HTTP/3": []}
+                failed, before, begun_s = 0, cpu_s(b.proxy), time.monotonic()
+                while time.monotonic() - begun_s < seconds:
+                    for name, ask in (("HTTP/1.1", http1.ask), ("HTTP/3", http3.ask)):
+                        at_s = time.monotonic()
+                        failed += (await ask("/unsafe", body=b"x")).status != 200
+                        took[name].append((time.monotonic() - at_s) * 1000)
+                    await asyncio.sleep(0.005)
+                share = (cpu_s(b.proxy) - before) / (time.monotonic() - begun_s)
+                stop.set()
+                sent = await flooding
+                line = await b.box.line()
+                told = (await line.result("status"))["protocols"]["HTTP/3 from clients"]
+                for name, found in took.items():
+                    found.sort()
+                    p50, p99 = found[len(found) // 2], found[int(len(found) * 0.99)]
+                    print(f"{rate} a second: {name} {len(found)} served, p50 {p50:.1f} p99 {p99:.1f} ms")
+                print(f"  {sent} forged, {failed} failed; {share:.0%} CPU, {rss_kb(b.proxy)} KB; {told}", flush=True)
+
+
+async def forge(port: int, initial: bytes, rate: int, stop: asyncio.Event) -> int:
+    """First packets of one connection id each, from eight ports: as an attacker's with forged sources."""
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(8)]
+    for sock in socks:
+        sock.setblocking(False)
+    sent, begun_s = 0, time.monotonic()
+    while not stop.is_set():
+        while rate and sent < (time.monotonic() - begun_s) * rate:
+            data = bytearray(initial)
+            data[6:14] = os.urandom(8)  # another destination id: another connection
+            with suppress(OSError):
+                socks[sent % 8].sendto(data, ("127.0.0.1", port))
+            sent += 1
+        await asyncio.sleep(0.002)
+    for sock in socks:
+        sock.close()
+    return sent
 
 
 def main() -> None:
@@ -301,14 +419,17 @@
     parser.add_argument("--requests", type=int, default=6000)
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--loss", type=float, default=0.02)
     told = parser.parse_args()
     logging.disable(logging.CRITICAL)
     if "libraries" in told.what:
         libraries(told.requests)
     if "mixed" in told.what:
         for seed in range(told.seeds):
-            for share in (0.0, 0.5, 1.0):
-                asyncio.run(mixed(told.seconds, share, seed))
+            for clients, servers in ((0.0, 0.0), (0.5, 0.0), (0.0, 0.5), (0.5, 0.5), (1.0, 1.0)):
+                asyncio.run(mixed(told.seconds, clients, servers, seed, told.loss))
+    if "flood" in told.what:
+        asyncio.run(flood(told.seconds))
     if "cost" in told.what:
         asyncio.run(cost(told.requests))
 
