Quiet proxies keep what they did not use of the crowd's limit, and seek their part of it

Of 5,000 proxies with a trickle each half refused what they were asked, with servers half idle: below one attempt the pooled limit put a pause behind each, whoever asked twice in a row was refused, and those who did not ask left their parts unused. What three attempts need is saved up now, and a part below one is sought by half as much again while answers come in good time.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -96,6 +96,9 @@
 FLOW_LEAST = 0.1
 # Beyond the start it grows slower than a server's limit: it stands for all of them, and all proxies grow.
 FLOW_GROWTH = LIMIT_GROWTH / 4
+# Below one it is a guess at a part of the fleet that others may not use: it is sought in steps as large as
+# long as answers come in good time. What so many attempts need may be saved up.
+FLOW_SEEKS, FLOW_SAVED = 1.5, 3.0
 # A proxy keeps to a window of the servers: of as many as give each this many proxies on average, enough
 # for their unequal traffic to even out; but not under the least, for two draws to mean something; and as
 # many as it meets each at least once in this many longest deadlines.
@@ -487,8 +490,8 @@
     """How many attempts this proxy may have out over all servers together.
 
     Danger: a limit a server can't be less than one, and with hundreds of proxies one each is a jam. This
-    limit is pooled over the servers and may be a fraction: below one, a pause after each attempt, as
-    long as to keep one out for that part of the time.
+    limit is pooled over the servers and may be a fraction: below one, an attempt takes up as long as to keep
+    one out for that part of the time; `closed_until_ms` is when all that went out has been made up for.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -498,7 +501,7 @@
         self.start = self.least = 0.0
         self.out = 0
         self.strain = 1.0
-        self.closed_until_ms = 0.0
+        self.closed_until_ms = float("-inf")
         self.bound = False  # something found no room since the last attempt ended
 
     def resize(self, weight: float) -> None:
@@ -523,11 +526,17 @@
                 self.limit -= min(1.0, self.limit) * (1 - 1 / self.strain)
             elif self.limit < self.start:
                 self.limit = min(self.start, 2 * self.limit)
+            elif bound and self.limit < 1:
+                self.limit = min(1.0, FLOW_SEEKS * self.limit)
             elif bound:
-                self.limit += FLOW_GROWTH * min(self.limit, 1 / self.limit)
+                self.limit += FLOW_GROWTH / self.limit
             self.limit = max(self.limit, self.least)
         if self.limit < 1:
-            self.closed_until_ms = now_ms + usual_ms * (1 / self.limit - 1)
+            # Danger: with a pause behind each, whoever asks twice in a row is refused, while those who do not
+            # ask leave their parts unused. What was not needed is kept, for a few attempts.
+            part_ms = usual_ms / self.limit
+            saved_from_ms = now_ms - usual_ms - FLOW_SAVED * part_ms
+            self.closed_until_ms = max(self.closed_until_ms, saved_from_ms) + part_ms
 
 
 class Picker:
