--- a/tests/http3/test_carrier.py
+++ b/tests/http3/test_carrier.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -136,6 +136,23 @@
             host.close()
 
 
+def in_scene(**how: Any) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[[Path], None]]:
+    """A test that is played in a scene of its own."""
+
+    def played(play: Callable[[Scene], Awaitable[None]]) -> Callable[[Path], None]:
+        def test(tmp_path: Path) -> None:
+            async def run() -> None:
+                async with scene(tmp_path, **how) as s:
+                    await play(s)
+
+            asyncio.run(run())
+
+        test.__doc__ = play.__doc__
+        return test
+
+    return played
+
+
 async def until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(LONG_S):
         while not condition():
@@ -326,28 +343,24 @@
     asyncio.run(run(fallback=True))
 
 
-def test_what_failed_by_http3_goes_by_http1_for_a_while(tmp_path: Path) -> None:
+@in_scene(fallback=True)
+async def test_what_failed_by_http3_goes_by_http1_for_a_while(s: Scene) -> None:
     """Each attempt has one outcome: nothing is tried a second time below the decisions."""
-
-    async def run() -> None:
-        async with scene(tmp_path, fallback=True) as s:
-            host = await s.host()
-            host.deaf = True
-            first, second = s.send(host), s.send(host)
-            assert await s.ended(first, second) == [Outcome.CONNECT_FAILED] * 2
-            assert not s.plain.sent
-            assert s.carrier.told("s-1").startswith("HTTP/1.1: HTTP/3 failed, again in")
-            s.send(host)
-            s.carrier.open_ahead(("s-1", ("127.0.0.1", host.port)))
-            assert len(s.plain.sent) == len(s.plain.opened) == 1
-            now_s = s.carrier.loop.time()
-            assert 0 < s.carrier.speech.resting_s("s-1", now_s) <= REST_S
-            host.deaf = False
-            s.carrier.speech.came_up("s-1")  # its rest is over
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert s.carrier.told("s-1") == "HTTP/3"
-
-    asyncio.run(run())
+    host = await s.host()
+    host.deaf = True
+    first, second = s.send(host), s.send(host)
+    assert await s.ended(first, second) == [Outcome.CONNECT_FAILED] * 2
+    assert not s.plain.sent
+    assert s.carrier.told("s-1").startswith("HTTP/1.1: HTTP/3 failed, again in")
+    s.send(host)
+    s.carrier.open_ahead(("s-1", ("127.0.0.1", host.port)))
+    assert len(s.plain.sent) == len(s.plain.opened) == 1
+    now_s = s.carrier.loop.time()
+    assert 0 < s.carrier.speech.resting_s("s-1", now_s) <= REST_S
+    host.deaf = False
+    s.carrier.speech.came_up("s-1")  # its rest is over
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert s.carrier.told("s-1") == "HTTP/3"
 
 
 @pytest.mark.parametrize("library", LIBRARIES)
@@ -370,32 +383,29 @@
     asyncio.run(run())
 
 
-def test_goaway_lets_what_is_out_end_and_takes_nothing_new(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(silent)
-            out = [s.send(host) for _ in range(3)]
-            await until(lambda: len(host.seen) == 3)
-            peer = host.seen[0].peer
-            peer.go_away(host.seen[1].number + 4)  # the third was not looked at
-            assert await s.ended(out[2]) == [Outcome.REJECTED]
-            host.respond = done
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 2 and out[0].outcome is None
-            peer.go_away(host.seen[0].number + 4)  # lowered: the second was not either
-            assert await s.ended(out[1]) == [Outcome.REJECTED]
-            host.seen[0].answer()
-            assert await s.ended(out[0]) == [Outcome.OK]
-            await until(lambda: len(s.carrier.lanes) == 1)  # it ends with its last request
-            # Raised again, it would call off what has gone elsewhere: an error of the connection.
-            last = s.send(host)
-            assert await s.ended(last) == [Outcome.OK]
-            lane = s.carrier.lanes[0]
-            peer = host.seen[-1].peer
-            peer.go_away(100)
-            await until(lambda: lane.leaving or lane.over)
-
-    asyncio.run(run())
+@in_scene()
+async def test_goaway_lets_what_is_out_end_and_takes_nothing_new(s: Scene) -> None:
+    host = await s.host(silent)
+    out = [s.send(host) for _ in range(3)]
+    await until(lambda: len(host.seen) == 3)
+    peer = host.seen[0].peer
+    peer.go_away(host.seen[1].number + 4)  # the third was not looked at
+    assert await s.ended(out[2]) == [Outcome.REJECTED]
+    host.respond = done
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 2 and out[0].outcome is None
+    peer.go_away(host.seen[0].number + 4)  # lowered: the second was not either
+    assert await s.ended(out[1]) == [Outcome.REJECTED]
+    host.seen[0].answer()
+    assert await s.ended(out[0]) == [Outcome.OK]
+    await until(lambda: len(s.carrier.lanes) == 1)  # it ends with its last request
+    # Raised again, it would call off what has gone elsewhere: an error of the connection.
+    last = s.send(host)
+    assert await s.ended(last) == [Outcome.OK]
+    lane = s.carrier.lanes[0]
+    peer = host.seen[-1].peer
+    peer.go_away(100)
+    await until(lambda: lane.leaving or lane.over)
 
 
 @pytest.mark.parametrize("bounds", [(8, 12), (9,)])
@@ -415,190 +425,164 @@
     asyncio.run(run())
 
 
-def test_other_streams_of_the_server_hold_no_goaway(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host()
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            peer = host.seen[0].peer
-            number = peer.quic.get_next_available_stream_id(is_unidirectional=True)
-            peer.quic.send_stream_data(number, b"\x21\x07\x01\x00")  # of a type to be passed over
-            peer.flush()
-            await asyncio.sleep(0.1)
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 1
-
-    asyncio.run(run())
-
-
-def test_given_up_a_stream_is_cancelled_and_the_connection_goes_on(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(silent)
-            out = s.send(host)
-            await until(lambda: len(host.seen) == 1)
-            assert out.exchange is not None
-            out.exchange.abandon()
-            await until(lambda: host.stops.get(host.seen[0].number) == CANCELLED)
-            with suppress(ValueError, RuntimeError):  # too late: nobody hears of it
-                host.seen[0].answer()
-            host.respond = done
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 1 and out.outcome is None
-            # Before its connection is up it never goes out.
-            host.deaf, before = True, len(host.begun)
-            fresh = s.send(host, on_open=lambda: None)
-            assert fresh.exchange is not None
-            fresh.exchange.abandon()
-            host.deaf = False
-            await until(lambda: len(s.carrier.lanes) == 2 and all(lane.up for lane in s.carrier.lanes))
-            assert len(host.begun) == before and fresh.outcome is None
-
-    asyncio.run(run())
-
-
-def test_a_lost_request_that_was_given_up_does_not_arrive_later(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host()
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            host.deaf = True
-            out = s.send(host)
-            await until(lambda: out.exchange is not None and out.exchange.written)
-            assert out.exchange is not None
-            out.exchange.abandon()  # its time is over
-            host.deaf = False
-            await until(lambda: bool(host.resets))
-            await asyncio.sleep(0.1)
-            assert len(host.seen) == 1
-
-    asyncio.run(run())
-
-
-def test_a_connection_that_leads_nowhere_takes_no_more_requests(tmp_path: Path) -> None:
+@in_scene()
+async def test_other_streams_of_the_server_hold_no_goaway(s: Scene) -> None:
+    host = await s.host()
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    peer = host.seen[0].peer
+    number = peer.quic.get_next_available_stream_id(is_unidirectional=True)
+    peer.quic.send_stream_data(number, b"\x21\x07\x01\x00")  # of a type to be passed over
+    peer.flush()
+    await asyncio.sleep(0.1)
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 1
+
+
+@in_scene()
+async def test_given_up_a_stream_is_cancelled_and_the_connection_goes_on(s: Scene) -> None:
+    host = await s.host(silent)
+    out = s.send(host)
+    await until(lambda: len(host.seen) == 1)
+    assert out.exchange is not None
+    out.exchange.abandon()
+    await until(lambda: host.stops.get(host.seen[0].number) == CANCELLED)
+    with suppress(ValueError, RuntimeError):  # too late: nobody hears of it
+        host.seen[0].answer()
+    host.respond = done
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 1 and out.outcome is None
+    # Before its connection is up it never goes out.
+    host.deaf, before = True, len(host.begun)
+    fresh = s.send(host, on_open=lambda: None)
+    assert fresh.exchange is not None
+    fresh.exchange.abandon()
+    host.deaf = False
+    await until(lambda: len(s.carrier.lanes) == 2 and all(lane.up for lane in s.carrier.lanes))
+    assert len(host.begun) == before and fresh.outcome is None
+
+
+@in_scene()
+async def test_a_lost_request_that_was_given_up_does_not_arrive_later(s: Scene) -> None:
+    host = await s.host()
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    host.deaf = True
+    out = s.send(host)
+    await until(lambda: out.exchange is not None and out.exchange.written)
+    assert out.exchange is not None
+    out.exchange.abandon()  # its time is over
+    host.deaf = False
+    await until(lambda: bool(host.resets))
+    await asyncio.sleep(0.1)
+    assert len(host.seen) == 1
+
+
+@in_scene()
+async def test_a_connection_that_leads_nowhere_takes_no_more_requests(s: Scene) -> None:
     """Its server has vanished, and is back at the same place as a new process that says nothing of it."""
-
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host()
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            host.deaf = True
-            out = s.send(host)
-            await until(lambda: out.exchange is not None and out.exchange.written)
-            assert out.exchange is not None
-            out.exchange.abandon()
-            host.deaf = False
-            for peer in host.peers.values():
-                peer.stop_timer()
-            host.peers = {address: peer for address, peer in host.peers.items() if False}
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 2
-            # It holds its socket no longer than to the next look.
-            for lane in s.carrier.lanes:
-                lane.check(s.carrier.loop.time(), 1000.0)
-            assert len(s.carrier.lanes) == 1
-            # One that is merely slow has acknowledged what it got, and is kept.
-            host.respond = silent
-            out = s.send(host)
-            await until(lambda: len(host.seen) == 3)
-            await asyncio.sleep(0.05)
-            assert out.exchange is not None
-            out.exchange.abandon()
-            host.respond = done
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 2
-
-    asyncio.run(run())
-
-
-def test_a_host_that_drains_gets_nothing_new_and_ends_what_it_has(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(silent)
-            place = ("s-1", ("127.0.0.1", host.port))
-            out = s.send(host)
-            await until(lambda: len(host.seen) == 1)
-            s.carrier.open_ahead(("s-9", ("127.0.0.1", host.port)))
-            s.carrier.keep_only({place})
-            assert len(s.carrier.lanes) == 1 and s.plain.kept == {place}
-            s.carrier.keep_only(set())
-            assert out.outcome is None
-            host.seen[0].answer()
-            assert await s.ended(out) == [Outcome.OK]
-            await until(lambda: not s.carrier.lanes)
-
-    asyncio.run(run())
-
-
-def test_what_is_given_up_while_it_comes_up_never_goes_out(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host()
-            # In the very step in which its connection is up.
-            def give_up() -> None:
-                assert tried.exchange is not None
-                tried.exchange.abandon()
-
-            tried: Tried = s.send(host, on_open=give_up)
-            await until(lambda: host.handshakes == 1)
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert len(host.begun) == 1 and tried.outcome is None
-            # Before, on a connection to a server that drains by then: it goes with its only request.
-            host.deaf = True
-            waiting = s.send(host, on_open=lambda: None)
-            s.carrier.keep_only(set())
-            assert waiting.exchange is not None and waiting.outcome is None
-            waiting.exchange.abandon()
-            await until(lambda: not s.carrier.lanes)
-            assert len(host.begun) == 1 and s.carrier.count["not_up"] == 0
-            assert s.carrier.speech.by_http3("s-1", s.carrier.loop.time())
-
-    asyncio.run(run())
-
-
-def test_what_is_given_up_as_a_long_answer_begins_ends_there(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(long_answer)
-            given: list[Answer] = []
-
-            def begin(answer: Answer) -> None:
-                given.append(answer)
-                assert tried.exchange is not None
-                tried.exchange.abandon()
-
-            tried = Tried()
-            place = ("s-1", ("127.0.0.1", host.port))
-            sent = s.carrier.send(place, Wanted(), 1500.0, tried.end, begin)
-            assert isinstance(sent, Exchange)
-            tried.exchange = sent
-            await until(lambda: bool(host.stops))
-            assert len(given) == 1 and tried.outcome is None
-            host.respond = done
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            assert host.handshakes == 1
-
-    asyncio.run(run())
-
-
-def test_sent_is_what_has_left_not_what_was_handed_over(tmp_path: Path) -> None:
+    host = await s.host()
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    host.deaf = True
+    out = s.send(host)
+    await until(lambda: out.exchange is not None and out.exchange.written)
+    assert out.exchange is not None
+    out.exchange.abandon()
+    host.deaf = False
+    for peer in host.peers.values():
+        peer.stop_timer()
+    host.peers = {address: peer for address, peer in host.peers.items() if False}
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 2
+    # It holds its socket no longer than to the next look.
+    for lane in s.carrier.lanes:
+        lane.check(s.carrier.loop.time(), 1000.0)
+    assert len(s.carrier.lanes) == 1
+    # One that is merely slow has acknowledged what it got, and is kept.
+    host.respond = silent
+    out = s.send(host)
+    await until(lambda: len(host.seen) == 3)
+    await asyncio.sleep(0.05)
+    assert out.exchange is not None
+    out.exchange.abandon()
+    host.respond = done
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 2
+
+
+@in_scene()
+async def test_a_host_that_drains_gets_nothing_new_and_ends_what_it_has(s: Scene) -> None:
+    host = await s.host(silent)
+    place = ("s-1", ("127.0.0.1", host.port))
+    out = s.send(host)
+    await until(lambda: len(host.seen) == 1)
+    s.carrier.open_ahead(("s-9", ("127.0.0.1", host.port)))
+    s.carrier.keep_only({place})
+    assert len(s.carrier.lanes) == 1 and s.plain.kept == {place}
+    s.carrier.keep_only(set())
+    assert out.outcome is None
+    host.seen[0].answer()
+    assert await s.ended(out) == [Outcome.OK]
+    await until(lambda: not s.carrier.lanes)
+
+
+@in_scene()
+async def test_what_is_given_up_while_it_comes_up_never_goes_out(s: Scene) -> None:
+    host = await s.host()
+    # In the very step in which its connection is up.
+    def give_up() -> None:
+        assert tried.exchange is not None
+        tried.exchange.abandon()
+
+    tried: Tried = s.send(host, on_open=give_up)
+    await until(lambda: host.handshakes == 1)
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert len(host.begun) == 1 and tried.outcome is None
+    # Before, on a connection to a server that drains by then: it goes with its only request.
+    host.deaf = True
+    waiting = s.send(host, on_open=lambda: None)
+    s.carrier.keep_only(set())
+    assert waiting.exchange is not None and waiting.outcome is None
+    waiting.exchange.abandon()
+    await until(lambda: not s.carrier.lanes)
+    assert len(host.begun) == 1 and s.carrier.count["not_up"] == 0
+    assert s.carrier.speech.by_http3("s-1", s.carrier.loop.time())
+
+
+@in_scene()
+async def test_what_is_given_up_as_a_long_answer_begins_ends_there(s: Scene) -> None:
+    host = await s.host(long_answer)
+    given: list[Answer] = []
+
+    def begin(answer: Answer) -> None:
+        given.append(answer)
+        assert tried.exchange is not None
+        tried.exchange.abandon()
+
+    tried = Tried()
+    place = ("s-1", ("127.0.0.1", host.port))
+    sent = s.carrier.send(place, Wanted(), 1500.0, tried.end, begin)
+    assert isinstance(sent, Exchange)
+    tried.exchange = sent
+    await until(lambda: bool(host.stops))
+    assert len(given) == 1 and tried.outcome is None
+    host.respond = done
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    assert host.handshakes == 1
+
+
+@in_scene()
+async def test_sent_is_what_has_left_not_what_was_handed_over(s: Scene) -> None:
     """A body that a window holds back has not been sent: given up, it never ran."""
-
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host()
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            host.deaf = True
-            tried = s.send(host, Wanted(b"x" * 60_000))
-            await asyncio.sleep(0.2)
-            assert tried.exchange is not None and tried.exchange.begun and not tried.exchange.written
-            tried.exchange.abandon()
-            host.deaf = False
-            await until(lambda: bool(host.resets))
-            assert len(host.seen) == 1
-            assert not s.carrier.lanes[0].quic.is_reset(b"")
-
-    asyncio.run(run())
+    host = await s.host()
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    host.deaf = True
+    tried = s.send(host, Wanted(b"x" * 60_000))
+    await asyncio.sleep(0.2)
+    assert tried.exchange is not None and tried.exchange.begun and not tried.exchange.written
+    tried.exchange.abandon()
+    host.deaf = False
+    await until(lambda: bool(host.resets))
+    assert len(host.seen) == 1
+    assert not s.carrier.lanes[0].quic.is_reset(b"")
 
 
 def test_one_opened_ahead_is_used_and_tells_who_is_not_there(tmp_path: Path) -> None:
@@ -622,63 +606,53 @@
     asyncio.run(run())
 
 
-def test_sockets_are_bounded_and_an_idle_one_makes_room(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path, most=1) as s:
-            first, second = await s.host(silent), await s.host()
-            out = s.send(first)
-            await until(lambda: len(first.seen) == 1)
-            full = s.send(second)
-            assert full.outcome is Outcome.NOT_SENT  # our own lack, told at once
-            first.seen[0].answer()
-            assert await s.ended(out) == [Outcome.OK]
-            assert await s.ended(s.send(second)) == [Outcome.OK]
-            assert [lane.host[1][1] for lane in s.carrier.lanes] == [second.port]
-
-    asyncio.run(run())
-
-
-def test_streams_over_the_servers_limit_go_on_another_connection(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(silent)
-            first = s.send(host)
-            await until(lambda: len(host.seen) == 1)
-            (lane,) = s.carrier.lanes
-            lane.quic._remote_max_streams_bidi = 2
-            rest = [s.send(host) for _ in range(2)]
-            await until(lambda: len(host.seen) == 3)
-            assert host.handshakes == 2
-            for asked in list(host.seen):
-                asked.answer()
-            assert await s.ended(first, *rest) == [Outcome.OK] * 3
-
-    asyncio.run(run())
-
-
-def test_a_long_answer_comes_as_fast_as_its_client_takes_it(tmp_path: Path) -> None:
+@in_scene(most=1)
+async def test_sockets_are_bounded_and_an_idle_one_makes_room(s: Scene) -> None:
+    first, second = await s.host(silent), await s.host()
+    out = s.send(first)
+    await until(lambda: len(first.seen) == 1)
+    full = s.send(second)
+    assert full.outcome is Outcome.NOT_SENT  # our own lack, told at once
+    first.seen[0].answer()
+    assert await s.ended(out) == [Outcome.OK]
+    assert await s.ended(s.send(second)) == [Outcome.OK]
+    assert [lane.host[1][1] for lane in s.carrier.lanes] == [second.port]
+
+
+@in_scene()
+async def test_streams_over_the_servers_limit_go_on_another_connection(s: Scene) -> None:
+    host = await s.host(silent)
+    first = s.send(host)
+    await until(lambda: len(host.seen) == 1)
+    (lane,) = s.carrier.lanes
+    lane.quic._remote_max_streams_bidi = 2
+    rest = [s.send(host) for _ in range(2)]
+    await until(lambda: len(host.seen) == 3)
+    assert host.handshakes == 2
+    for asked in list(host.seen):
+        asked.answer()
+    assert await s.ended(first, *rest) == [Outcome.OK] * 3
+
+
+@in_scene()
+async def test_a_long_answer_comes_as_fast_as_its_client_takes_it(s: Scene) -> None:
     """8 MB to a client that has enough after 100 KB: no more than a window comes on top."""
-
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            body = b"y" * (8 << 20)
-            host = await s.host(lambda asked: asked.answer(body))
-            out = s.send(host)
-            out.sink.room = 100_000
-            await until(lambda: out.sink.got >= out.sink.room)
-            await asyncio.sleep(0.5)
-            held = out.sink.got
-            assert held < out.sink.room + 4 * 64 * 1024 and out.outcome is None
-            # Another request is served meanwhile, on the same connection.
-            host.respond = done
-            assert await s.ended(s.send(host)) == [Outcome.OK]
-            out.sink.room = 1 << 30
-            assert out.sink.on_ready is not None
-            out.sink.on_ready()
-            assert await s.ended(out) == [Outcome.OK]
-            assert (out.sink.got, out.sink.how, host.handshakes) == (len(body), "whole", 1)
-
-    asyncio.run(run())
+    body = b"y" * (8 << 20)
+    host = await s.host(lambda asked: asked.answer(body))
+    out = s.send(host)
+    out.sink.room = 100_000
+    await until(lambda: out.sink.got >= out.sink.room)
+    await asyncio.sleep(0.5)
+    held = out.sink.got
+    assert held < out.sink.room + 4 * 64 * 1024 and out.outcome is None
+    # Another request is served meanwhile, on the same connection.
+    host.respond = done
+    assert await s.ended(s.send(host)) == [Outcome.OK]
+    out.sink.room = 1 << 30
+    assert out.sink.on_ready is not None
+    out.sink.on_ready()
+    assert await s.ended(out) == [Outcome.OK]
+    assert (out.sink.got, out.sink.how, host.handshakes) == (len(body), "whole", 1)
 
 
 def test_a_long_answer_that_is_cut_off_can_be_told(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -701,31 +675,28 @@
     asyncio.run(run())
 
 
-def test_a_long_body_goes_on_as_fast_as_its_server_reads_it(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            host = await s.host(lambda asked: asked.answer(b"%d" % len(asked.body)))
-            paused = [False]
-            upload = Upload(None, lambda: paused.__setitem__(0, True), lambda: paused.__setitem__(0, False))
-            out = s.send(host, Wanted(b"x" * 1000, upload))
-            await until(lambda: bool(host.begun))
-            host.deaf = True
-            for _ in range(20):
-                if not paused[0]:
-                    upload.feed(b"x" * 50_000)
-                    await asyncio.sleep(0)
-            assert paused[0] and out.exchange is not None and not out.exchange.written
-            fed = 1000 + 50_000
-            host.deaf = False
-            while fed < 1_000_000:
-                await until(lambda: not paused[0])
-                upload.feed(b"x" * 50_000)
-                fed += 50_000
-            upload.end()
-            assert await s.ended(out) == [Outcome.OK]
-            assert out.answer is not None and int(out.answer.body) >= 1_000_000 and out.exchange.written
-
-    asyncio.run(run())
+@in_scene()
+async def test_a_long_body_goes_on_as_fast_as_its_server_reads_it(s: Scene) -> None:
+    host = await s.host(lambda asked: asked.answer(b"%d" % len(asked.body)))
+    paused = [False]
+    upload = Upload(None, lambda: paused.__setitem__(0, True), lambda: paused.__setitem__(0, False))
+    out = s.send(host, Wanted(b"x" * 1000, upload))
+    await until(lambda: bool(host.begun))
+    host.deaf = True
+    for _ in range(20):
+        if not paused[0]:
+            upload.feed(b"x" * 50_000)
+            await asyncio.sleep(0)
+    assert paused[0] and out.exchange is not None and not out.exchange.written
+    fed = 1000 + 50_000
+    host.deaf = False
+    while fed < 1_000_000:
+        await until(lambda: not paused[0])
+        upload.feed(b"x" * 50_000)
+        fed += 50_000
+    upload.end()
+    assert await s.ended(out) == [Outcome.OK]
+    assert out.answer is not None and int(out.answer.body) >= 1_000_000 and out.exchange.written
 
 
 def test_a_server_that_says_nothing_of_a_long_wait_is_asked_whether_it_is_there(
--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -86,6 +87,23 @@
         await found.front.close()
 
 
+def in_scene(**how: Any) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[[Path], None]]:
+    """A test that is played in a scene of its own."""
+
+    def played(play: Callable[[Scene], Awaitable[None]]) -> Callable[[Path], None]:
+        def test(tmp_path: Path) -> None:
+            async def run() -> None:
+                async with scene(tmp_path, **how) as s:
+                    await play(s)
+
+            asyncio.run(run())
+
+        test.__doc__ = play.__doc__
+        return test
+
+    return played
+
+
 async def until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(20):
         while not condition():
@@ -149,23 +167,20 @@
     asyncio.run(run())
 
 
-def test_one_id_is_open_once_over_all_protocols(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            first = client.send("/unsafe", x_request_id="one")
-            await until(lambda: len(s.handler.calls) == 1)
-            assert (await client.ask("/unsafe", x_request_id="one")).status == 409
-            # HTTP/1.1's front puts what waits behind another request there.
-            s.gate.waiting_ids.add(b"two")
-            assert (await client.ask("/unsafe", x_request_id="two")).status == 409
-            s.handler.calls[0].refused(1500.0)
-            reply = await client.reply(first)
-            assert reply.status == 503 and reply.fields[b"retry-after"] == b"1.500"
-            assert len(s.handler.calls) == 1
-
-    asyncio.run(run())
+@in_scene()
+async def test_one_id_is_open_once_over_all_protocols(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    first = client.send("/unsafe", x_request_id="one")
+    await until(lambda: len(s.handler.calls) == 1)
+    assert (await client.ask("/unsafe", x_request_id="one")).status == 409
+    # HTTP/1.1's front puts what waits behind another request there.
+    s.gate.waiting_ids.add(b"two")
+    assert (await client.ask("/unsafe", x_request_id="two")).status == 409
+    s.handler.calls[0].refused(1500.0)
+    reply = await client.reply(first)
+    assert reply.status == 503 and reply.fields[b"retry-after"] == b"1.500"
+    assert len(s.handler.calls) == 1
 
 
 @pytest.mark.parametrize("way", ["cancelled", "closed", "vanished"])
@@ -204,21 +219,17 @@
     asyncio.run(run())
 
 
-def test_a_request_that_is_wrong_and_taken_back_at_once(tmp_path: Path) -> None:
+@in_scene()
+async def test_a_request_that_is_wrong_and_taken_back_at_once(s: Scene) -> None:
     """Both in one packet: its stream takes no answer any more, which must not end the connection."""
-
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            client = await s.client("aioquic")
-            number = client.quic.get_next_available_stream_id()
-            client.replies[number] = Reply()
-            client.http.send_headers(number, client.fields("/nobody"), True)
-            client.quic.stop_stream(number, 0x10C)
-            client.flush()
-            assert (await client.ask("/unsafe")).status == 200
-            assert client.over is None and s.front.count["failed"] == 0
-
-    asyncio.run(run())
+    client = await s.client("aioquic")
+    number = client.quic.get_next_available_stream_id()
+    client.replies[number] = Reply()
+    client.http.send_headers(number, client.fields("/nobody"), True)
+    client.quic.stop_stream(number, 0x10C)
+    client.flush()
+    assert (await client.ask("/unsafe")).status == 200
+    assert client.over is None and s.front.count["failed"] == 0
 
 
 @pytest.mark.parametrize("why", ["crowded", "leaving", "stopping"])
@@ -266,90 +277,75 @@
     asyncio.run(run())
 
 
-def test_bodies_are_held_within_one_budget(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path, budget=400_000) as s:
-            client = await s.client()
-            big = b"x" * 150_000
-            assert (await client.ask("/unsafe", big)).body == b"done " + big
-            assert (await client.ask("/unsafe", b"x" * 300_000)).status == 413  # never: over half of it all
-            s.handler.answer = None
-            open_ones = [client.send("/unsafe", big) for _ in range(3)]
-            await until(lambda: len(s.handler.calls) == 4)
-            reply = await client.ask("/unsafe", big)
-            assert reply.status == 503 and reply.fields[b"retry-after"] == b"1.000"
-            assert s.keeping.held <= 400_000
-            for call in s.handler.calls[1:]:
-                call.failed()
-            assert [(await client.reply(n)).status for n in open_ones] == [502] * 3
-            assert s.keeping.held == 0
-
-    asyncio.run(run())
-
-
-def test_requests_beyond_a_bound_wait_their_turn(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            numbers = [client.send("/unsafe") for _ in range(60)]
-            await until(lambda: len(s.handler.calls) == streams.MOST_HANDED)
-            await asyncio.sleep(0.1)
-            assert len(s.handler.calls) == streams.MOST_HANDED
-            client.cancel(numbers[-1])  # one that waits is taken back unheard of
-            await until(lambda: s.front.count["withdrawn"] == 1)
-            s.handler.answer = Handler().answer
-            for call in list(s.handler.calls):
-                call.failed()
-            replies = [await client.reply(n) for n in numbers[:-1]]
-            assert [r.status for r in replies] == [502] * 32 + [200] * 27
-            assert not s.gate.waiting_ids and len(s.handler.calls) == 59
-
-    asyncio.run(run())
-
-
-def test_what_waited_through_two_changes_of_classes_is_refused(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            numbers = [client.send("/unsafe") for _ in range(streams.MOST_HANDED + 1)]
-            await until(lambda: len(s.handler.calls) == streams.MOST_HANDED)
-            await until(lambda: len(s.gate.waiting_ids) == 1)
-            s.gate.reclass({"safe": Idempotency.SAFE})
-            s.gate.reclass({"keyed": Idempotency.KEYED})
-            s.handler.calls[0].failed()
-            reply = await client.reply(numbers[-1])
-            assert reply.status == 503 and len(s.handler.calls) == streams.MOST_HANDED
-
-    asyncio.run(run())
-
-
-def test_where_all_room_is_taken_an_idle_connection_makes_some(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path, most=1) as s:
-            first = await s.client("aioquic")
-            assert (await first.ask("/unsafe")).status == 200
-            second = await s.client("aioquic")
-            assert (await second.ask("/unsafe")).status == 200
-            await first.until(lambda: first.over is not None)
-            assert s.front.open == 1 and s.front.count["prove"] == 1  # no forged address takes another's room
-
-    asyncio.run(run())
-
-
-def test_a_client_that_closes_in_a_long_answer_has_left(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            client.send("/unsafe")
-            await until(lambda: len(s.handler.calls) == 1)
-            assert s.handler.calls[0].begin(Answer(200, b"", b"text/plain", False, None)) is not None
-            client.close()
-            await until(lambda: s.handler.left == s.handler.calls)
-
-    asyncio.run(run())
+@in_scene(budget=400_000)
+async def test_bodies_are_held_within_one_budget(s: Scene) -> None:
+    client = await s.client()
+    big = b"x" * 150_000
+    assert (await client.ask("/unsafe", big)).body == b"done " + big
+    assert (await client.ask("/unsafe", b"x" * 300_000)).status == 413  # never: over half of it all
+    s.handler.answer = None
+    open_ones = [client.send("/unsafe", big) for _ in range(3)]
+    await until(lambda: len(s.handler.calls) == 4)
+    reply = await client.ask("/unsafe", big)
+    assert reply.status == 503 and reply.fields[b"retry-after"] == b"1.000"
+    assert s.keeping.held <= 400_000
+    for call in s.handler.calls[1:]:
+        call.failed()
+    assert [(await client.reply(n)).status for n in open_ones] == [502] * 3
+    assert s.keeping.held == 0
+
+
+@in_scene()
+async def test_requests_beyond_a_bound_wait_their_turn(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    numbers = [client.send("/unsafe") for _ in range(60)]
+    await until(lambda: len(s.handler.calls) == streams.MOST_HANDED)
+    await asyncio.sleep(0.1)
+    assert len(s.handler.calls) == streams.MOST_HANDED
+    client.cancel(numbers[-1])  # one that waits is taken back unheard of
+    await until(lambda: s.front.count["withdrawn"] == 1)
+    s.handler.answer = Handler().answer
+    for call in list(s.handler.calls):
+        call.failed()
+    replies = [await client.reply(n) for n in numbers[:-1]]
+    assert [r.status for r in replies] == [502] * 32 + [200] * 27
+    assert not s.gate.waiting_ids and len(s.handler.calls) == 59
+
+
+@in_scene()
+async def test_what_waited_through_two_changes_of_classes_is_refused(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    numbers = [client.send("/unsafe") for _ in range(streams.MOST_HANDED + 1)]
+    await until(lambda: len(s.handler.calls) == streams.MOST_HANDED)
+    await until(lambda: len(s.gate.waiting_ids) == 1)
+    s.gate.reclass({"safe": Idempotency.SAFE})
+    s.gate.reclass({"keyed": Idempotency.KEYED})
+    s.handler.calls[0].failed()
+    reply = await client.reply(numbers[-1])
+    assert reply.status == 503 and len(s.handler.calls) == streams.MOST_HANDED
+
+
+@in_scene(most=1)
+async def test_where_all_room_is_taken_an_idle_connection_makes_some(s: Scene) -> None:
+    first = await s.client("aioquic")
+    assert (await first.ask("/unsafe")).status == 200
+    second = await s.client("aioquic")
+    assert (await second.ask("/unsafe")).status == 200
+    await first.until(lambda: first.over is not None)
+    assert s.front.open == 1 and s.front.count["prove"] == 1  # no forged address takes another's room
+
+
+@in_scene()
+async def test_a_client_that_closes_in_a_long_answer_has_left(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    client.send("/unsafe")
+    await until(lambda: len(s.handler.calls) == 1)
+    assert s.handler.calls[0].begin(Answer(200, b"", b"text/plain", False, None)) is not None
+    client.close()
+    await until(lambda: s.handler.left == s.handler.calls)
 
 
 def test_a_client_that_reads_no_answers_is_given_no_more(
@@ -372,117 +368,102 @@
     asyncio.run(run())
 
 
-def test_a_long_answer_goes_as_fast_as_its_client_reads_and_a_cut_one_shows(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            whole, cut = client.send("/unsafe"), client.send("/unsafe")
-            await until(lambda: len(s.handler.calls) == 2)
-            sinks = [c.begin(Answer(200, b"", b"text/plain", False, None)) for c in s.handler.calls]
-            assert sinks[0] is not None and sinks[1] is not None
-            client.reading = False
-            count = 0
-            while sinks[0].write(b"z" * 10_000):
-                count += 1
-                assert count < 100
-                await asyncio.sleep(0)
-            ready: list[int] = []
-            sinks[0].on_ready = lambda: ready.append(1)
-            client.reading = True
-            await until(lambda: bool(ready))
-            sinks[0].write(b"end")
-            sinks[0].finish()
-            sinks[1].write(b"a part")
-            sinks[1].cut()
-            reply = await client.reply(whole)
-            assert bytes(reply.body) == b"z" * 10_000 * (count + 1) + b"end" and reply.ended
-            lost = await client.reply(cut)
-            assert not lost.ended and lost.reset is not None
-
-    asyncio.run(run())
-
-
-def test_a_drain_serves_what_came_and_turns_away_what_comes(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            numbers = [client.send("/unsafe") for _ in range(100)]
-            await until(lambda: next(iter(s.front._connections)).streams._next == 400)
-            s.front.leave(final=False)
-            await client.until(lambda: len(client.away) == 1)
-            assert client.away == [streams.FROM_ANY]
-            s.front.leave(final=True)
-            await client.until(lambda: len(client.away) == 2)
-            assert client.away[1] == numbers[-1] + 4
-            served: list[Call] = []
-            while len(served) < 100:
-                for call in s.handler.calls[len(served) :]:
-                    served.append(call)
-                    call.served(Answer(200, b"", b"", False, None))
-                await asyncio.sleep(0.01)
-            assert [(await client.reply(n)).status for n in numbers] == [200] * 100
-            await until(lambda: s.front.open == 0)  # when all is answered
-
-    asyncio.run(run())
-
-
-def test_a_request_that_crosses_goaway_is_rejected_unheard(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            kept = client.send("/unsafe")
-            await until(lambda: len(s.handler.calls) == 1)
-            s.front.leave(final=True)
-            late = client.send("/unsafe")  # it has not read of it yet
-            reply = await client.reply(late)
-            assert reply.reset == 0x10B and len(s.handler.calls) == 1  # H3_REQUEST_REJECTED: it never ran
-            s.handler.calls[0].served(Answer(200, b"", b"", False, None))
-            assert (await client.reply(kept)).status == 200
-
-    asyncio.run(run())
-
-
-def test_a_box_that_stops_taking_sends_its_clients_away(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            client = await s.client()
-            assert (await client.ask("/unsafe")).status == 200
-            s.gate.refusing = True
-            s.handler.answer = lambda call: call.refused(1000.0)
-            assert (await client.ask("/unsafe")).status == 503
-            await client.until(lambda: bool(client.away), 5)
-            late = await s.client()
-            assert (await late.ask("/unsafe")).status == 503  # it is told when to come back
-            await late.until(lambda: bool(late.away), 5)
-
-    asyncio.run(run())
-
-
-def test_there_is_room_for_so_many_and_the_longest_idle_makes_room(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path, most=3) as s:
-            old, busy, new = [await s.client() for _ in range(3)]
-            s.handler.answer = None
-            busy.send("/unsafe")
-            new.send("/unsafe")
-            await until(lambda: len(s.handler.calls) == 2)
-            await s.client()  # in place of the one with nothing on it
-            assert s.front.open == 3 and busy.over is None and new.over is None
-            await old.until(lambda: old.over is not None)
-            last = QuicClient(s.address, s.authority.file)
-            s.clients.append(last)
-            for client in s.clients[-2:]:
-                client.send("/unsafe") if client.http is not None else None
-            await until(lambda: len(s.handler.calls) == 3)
-            with pytest.raises(TimeoutError):
-                async with asyncio.timeout(0.5):
-                    await last.open()
-            assert s.front.count["drop"] > 0 and s.front.open == 3
-
-    asyncio.run(run())
+@in_scene()
+async def test_a_long_answer_goes_as_fast_as_its_client_reads_and_a_cut_one_shows(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    whole, cut = client.send("/unsafe"), client.send("/unsafe")
+    await until(lambda: len(s.handler.calls) == 2)
+    sinks = [c.begin(Answer(200, b"", b"text/plain", False, None)) for c in s.handler.calls]
+    assert sinks[0] is not None and sinks[1] is not None
+    client.reading = False
+    count = 0
+    while sinks[0].write(b"z" * 10_000):
+        count += 1
+        assert count < 100
+        await asyncio.sleep(0)
+    ready: list[int] = []
+    sinks[0].on_ready = lambda: ready.append(1)
+    client.reading = True
+    await until(lambda: bool(ready))
+    sinks[0].write(b"end")
+    sinks[0].finish()
+    sinks[1].write(b"a part")
+    sinks[1].cut()
+    reply = await client.reply(whole)
+    assert bytes(reply.body) == b"z" * 10_000 * (count + 1) + b"end" and reply.ended
+    lost = await client.reply(cut)
+    assert not lost.ended and lost.reset is not None
+
+
+@in_scene()
+async def test_a_drain_serves_what_came_and_turns_away_what_comes(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    numbers = [client.send("/unsafe") for _ in range(100)]
+    await until(lambda: next(iter(s.front._connections)).streams._next == 400)
+    s.front.leave(final=False)
+    await client.until(lambda: len(client.away) == 1)
+    assert client.away == [streams.FROM_ANY]
+    s.front.leave(final=True)
+    await client.until(lambda: len(client.away) == 2)
+    assert client.away[1] == numbers[-1] + 4
+    served: list[Call] = []
+    while len(served) < 100:
+        for call in s.handler.calls[len(served) :]:
+            served.append(call)
+            call.served(Answer(200, b"", b"", False, None))
+        await asyncio.sleep(0.01)
+    assert [(await client.reply(n)).status for n in numbers] == [200] * 100
+    await until(lambda: s.front.open == 0)  # when all is answered
+
+
+@in_scene()
+async def test_a_request_that_crosses_goaway_is_rejected_unheard(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    kept = client.send("/unsafe")
+    await until(lambda: len(s.handler.calls) == 1)
+    s.front.leave(final=True)
+    late = client.send("/unsafe")  # it has not read of it yet
+    reply = await client.reply(late)
+    assert reply.reset == 0x10B and len(s.handler.calls) == 1  # H3_REQUEST_REJECTED: it never ran
+    s.handler.calls[0].served(Answer(200, b"", b"", False, None))
+    assert (await client.reply(kept)).status == 200
+
+
+@in_scene()
+async def test_a_box_that_stops_taking_sends_its_clients_away(s: Scene) -> None:
+    client = await s.client()
+    assert (await client.ask("/unsafe")).status == 200
+    s.gate.refusing = True
+    s.handler.answer = lambda call: call.refused(1000.0)
+    assert (await client.ask("/unsafe")).status == 503
+    await client.until(lambda: bool(client.away), 5)
+    late = await s.client()
+    assert (await late.ask("/unsafe")).status == 503  # it is told when to come back
+    await late.until(lambda: bool(late.away), 5)
+
+
+@in_scene(most=3)
+async def test_there_is_room_for_so_many_and_the_longest_idle_makes_room(s: Scene) -> None:
+    old, busy, new = [await s.client() for _ in range(3)]
+    s.handler.answer = None
+    busy.send("/unsafe")
+    new.send("/unsafe")
+    await until(lambda: len(s.handler.calls) == 2)
+    await s.client()  # in place of the one with nothing on it
+    assert s.front.open == 3 and busy.over is None and new.over is None
+    await old.until(lambda: old.over is not None)
+    last = QuicClient(s.address, s.authority.file)
+    s.clients.append(last)
+    for client in s.clients[-2:]:
+        client.send("/unsafe") if client.http is not None else None
+    await until(lambda: len(s.handler.calls) == 3)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.5):
+            await last.open()
+    assert s.front.count["drop"] > 0 and s.front.open == 3
 
 
 def test_a_flood_of_forged_first_packets_stays_in_bounds(
@@ -535,22 +516,19 @@
     asyncio.run(run())
 
 
-def test_a_client_moves_in_the_middle_of_a_request(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            number = client.send("/unsafe", b"x", end=False)
-            await until(lambda: bool(s.front._connections) and next(iter(s.front._connections)).streams.busy)
-            await client.bind("127.0.0.7")  # another address, another port
-            client.more(number, b"y" * 5000, end=True)
-            await until(lambda: len(s.handler.calls) == 1)
-            s.handler.calls[0].served(Answer(200, b"z" * 20_000, b"", False, None))
-            reply = await client.reply(number)
-            assert reply.status == 200 and len(reply.body) == 20_000
-            assert s.handler.calls[0].body == b"x" + b"y" * 5000 and s.front.open == 1
-
-    asyncio.run(run())
+@in_scene()
+async def test_a_client_moves_in_the_middle_of_a_request(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    number = client.send("/unsafe", b"x", end=False)
+    await until(lambda: bool(s.front._connections) and next(iter(s.front._connections)).streams.busy)
+    await client.bind("127.0.0.7")  # another address, another port
+    client.more(number, b"y" * 5000, end=True)
+    await until(lambda: len(s.handler.calls) == 1)
+    s.handler.calls[0].served(Answer(200, b"z" * 20_000, b"", False, None))
+    reply = await client.reply(number)
+    assert reply.status == 200 and len(reply.body) == 20_000
+    assert s.handler.calls[0].body == b"x" + b"y" * 5000 and s.front.open == 1
 
 
 def test_a_forged_move_is_not_followed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -575,18 +553,15 @@
     asyncio.run(run())
 
 
-def test_a_process_that_knows_nothing_of_a_connection_says_so(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            client = await s.client("aioquic")
-            assert (await client.ask("/unsafe")).status == 200
-            for connection in list(s.front._connections):
-                s.front.remove(connection)  # as after a restart
-                connection.over = True
-            client.send("/unsafe")
-            await until(lambda: s.front.count["resets"] > 0)
-
-    asyncio.run(run())
+@in_scene()
+async def test_a_process_that_knows_nothing_of_a_connection_says_so(s: Scene) -> None:
+    client = await s.client("aioquic")
+    assert (await client.ask("/unsafe")).status == 200
+    for connection in list(s.front._connections):
+        s.front.remove(connection)  # as after a restart
+        connection.over = True
+    client.send("/unsafe")
+    await until(lambda: s.front.count["resets"] > 0)
 
 
 def test_a_certificate_is_replaced_in_service(tmp_path: Path) -> None:
@@ -682,28 +657,25 @@
     asyncio.run(run())
 
 
-def test_one_lost_packet_does_not_hold_up_other_requests(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            nat = await Nat(7, s.address).start()
-            s.address = nat.address
-            client = await s.client()
-            assert (await client.ask("/unsafe")).status == 200
-            nat.out.cut = True
-            lost = client.send("/unsafe")
-            await until(lambda: nat.out.lost > 0)
-            nat.out.cut = False
-            order: list[int] = []
+@in_scene()
+async def test_one_lost_packet_does_not_hold_up_other_requests(s: Scene) -> None:
+    nat = await Nat(7, s.address).start()
+    s.address = nat.address
+    client = await s.client()
+    assert (await client.ask("/unsafe")).status == 200
+    nat.out.cut = True
+    lost = client.send("/unsafe")
+    await until(lambda: nat.out.lost > 0)
+    nat.out.cut = False
+    order: list[int] = []
 
-            async def note(number: int) -> None:
-                await client.reply(number)
-                order.append(number)
+    async def note(number: int) -> None:
+        await client.reply(number)
+        order.append(number)
 
-            await asyncio.gather(*(note(n) for n in (lost, *(client.send("/unsafe") for _ in range(5)))))
-            assert order[-1] == lost  # it came again; the others had not waited for it
-            nat.close()
-
-    asyncio.run(run())
+    await asyncio.gather(*(note(n) for n in (lost, *(client.send("/unsafe") for _ in range(5)))))
+    assert order[-1] == lost  # it came again; the others had not waited for it
+    nat.close()
 
 
 def test_a_head_that_never_ends_is_ended(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -744,30 +716,24 @@
     asyncio.run(run())
 
 
-def test_a_clients_close_withdraws_at_once(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            s.handler.answer = None
-            client = await s.client()
-            client.send("/unsafe")
-            await until(lambda: len(s.handler.calls) == 1)
-            client.quic.close()
-            assert client.transport is not None
-            own = client.transport.get_extra_info("sockname")
-            for data, _ in client.quic.datagrams_to_send(now=time.monotonic()):
-                s.front.datagram_received(data, own)
-            assert s.handler.left == s.handler.calls and s.front.open == 0
-
-    asyncio.run(run())
-
+@in_scene()
+async def test_a_clients_close_withdraws_at_once(s: Scene) -> None:
+    s.handler.answer = None
+    client = await s.client()
+    client.send("/unsafe")
+    await until(lambda: len(s.handler.calls) == 1)
+    client.quic.close()
+    assert client.transport is not None
+    own = client.transport.get_extra_info("sockname")
+    for data, _ in client.quic.datagrams_to_send(now=time.monotonic()):
+        s.front.datagram_received(data, own)
+    assert s.handler.left == s.handler.calls and s.front.open == 0
 
-def test_a_health_call_leaves_the_ids_of_requests_alone(tmp_path: Path) -> None:
-    async def run() -> None:
-        async with scene(tmp_path) as s:
-            client = await s.client()
-            s.gate.waiting_ids.add(b"two")  # of one that waits on HTTP/1.1
-            told = [*HEAD, (b":method", b"GET"), (b":path", b"/healthz"), (b"x-request-id", b"two")]
-            assert (await client.reply(client.send_fields(told))).status == 200
-            assert (await client.ask("/unsafe", x_request_id="two")).status == 409
 
-    asyncio.run(run())
+@in_scene()
+async def test_a_health_call_leaves_the_ids_of_requests_alone(s: Scene) -> None:
+    client = await s.client()
+    s.gate.waiting_ids.add(b"two")  # of one that waits on HTTP/1.1
+    told = [*HEAD, (b":method", b"GET"), (b":path", b"/healthz"), (b"x-request-id", b"two")]
+    assert (await client.reply(client.send_fields(told))).status == 200
+    assert (await client.ask("/unsafe", x_request_id="two")).status == 409
