--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -16,6 +16,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from cloverrouter.lab.account import Series
 from cloverrouter.lab.scenario import load
 from cloverrouter.lab.server import Server
 from cloverrouter.lab.simulation import Simulation
@@ -66,6 +67,15 @@
 count = {count}
 within_s = {within}
 """
+FAIL = """
+[[fault]]
+kind = "fail"
+at_s = 40
+for_s = 10
+share = 1.0
+{servers}
+"""
+FAILS_S = (40, 50)
 # seconds, rate, how unequal, seconds within which the proxies start, faults
 CASES: dict[str, tuple[int, int, float, float, str]] = {
     "quiet": (30, 300, 1.0, 0.0, ""),
@@ -74,6 +84,8 @@
     "over": (30, 900, 1.0, 0.0, ""),
     "release": (40, 300, 1.0, 0.0, RELEASE.format(count=5, within=10)),
     "together": (30, 300, 1.0, 0.0, RELEASE.format(count=10, within=1)),
+    "third": (80, 300, 1.0, 0.0, FAIL.format(servers='servers = ["s-1", "s-2", "s-3"]')),
+    "all": (80, 300, 1.0, 0.0, FAIL.format(servers="")),
 }
 
 
@@ -103,10 +115,26 @@
         f"{name:9} seed {seed}: in aim {figures.worth:.3f}, attempts a request "
         f"{figures.attempts_per_request:.3f}, most connections {figures.most_connections}, "
         f"busiest over mean {busiest:.2f}, fell over {fleet.fallen}"
+        + (failing(result.series) if name in ("third", "all") else "")
         + (f", RULE BROKEN: {result.broken}" if result.broken else "")
     )
 
 
+def failing(series: Series) -> str:
+    """While servers fail: attempts a request, and worth in aim; then, until that is back where it was."""
+    begin, end = FAILS_S
+    during = slice(begin, end)
+    sends = sum(sum(each[during]) for each in series.sends.values()) / sum(series.offered[during])
+    parts = [good / max(1e-9, asked) for good, asked in zip(series.good, series.asked, strict=True)]
+    usual = sum(parts[begin - 10 : begin]) / 10
+    back = next((i for i in range(end, len(parts) - 2) if sum(parts[i : i + 3]) / 3 >= 0.95 * usual), None)
+    again = f"after {back - end} s" if back is not None else "NOT"
+    return (
+        f"; failing: attempts a request {sends:.3f}, in aim {sum(parts[during]) / (end - begin):.3f}, "
+        f"back {again}"
+    )
+
+
 def rows(names: list[str], proxies: int, seeds: int) -> Iterator[str]:
     told = [(name, proxies, seed) for name in names for seed in range(100, 100 + seeds)]
     with ProcessPoolExecutor(max_workers=6, max_tasks_per_child=1) as pool:
