A crowd's proxy repeats nothing where two servers failed alike and none has served since

What failed at two servers with nothing served in between is common trouble; first attempts go on as trials.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -650,6 +650,8 @@
         self.flow_timer_ms = 0.0
         self.forgot_ms: float | None = None
         self.failed_calls = 0
+        self.served_ms = float("-inf")  # when a request was last served
+        self.trouble = False  # servers fail alike, and nothing was served since
         self.now_ms = float("-inf")
         self.actions: list[Action] = []
         self.started = False
@@ -1112,6 +1114,7 @@
         outcome, cls = attempt.outcome, request.cls
         if outcome is Outcome.OK:
             self.budget.earn()
+            self.served_ms, self.trouble = self.now_ms, False
         usual = request.usual
         if outcome in NO_EVIDENCE or cls is None or usual is None:
             self.flow.ended(self.now_ms, latency_ms, None)
@@ -1171,6 +1174,12 @@
 
     def _sleep(self, request: Request) -> Why | None:
         """Pay, wait by the paper's jitter and try then. Or why not: no time, or no token, is left."""
+        # Danger: the full buckets of thousands that ask little add up to a wave, whatever each is allowed.
+        # What fails at two servers, with nothing served since, is no one server's fault.
+        apart = len({a.endpoint for a in request.attempts}) > 1
+        self.trouble = self.trouble or (apart and self.served_ms < request.attempts[0].sent_ms)
+        if self.crowded and self.trouble:
+            return Why.COMMON
         wait = backoff_ms(request.prev_wait_ms, self.random)
         sleep = min(wait, self._useless_ms(request) - self.now_ms - DEADLINE_MARGIN_MS)
         if sleep <= 0 or self.now_ms + sleep >= request.repeats_end_ms():
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -71,6 +71,7 @@
     MAY_HAVE_RUN = "it may have run, and its class is not repeated"
     NO_TIME = "no time was left for another attempt"
     NO_TOKENS = "the retry budget was spent"
+    COMMON = "other servers failed, too, and none has served since"
 
 
 class EndpointState(Enum):
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -8,9 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverrouter.decide import FLOW_LEAST, FLOW_SAVED, FLOW_START, Flow
-from tests.driver import SETTINGS
+from cloverrouter.decide import COVER, FLOW_LEAST, FLOW_SAVED, FLOW_START, Flow
+from cloverrouter.interface import Outcome
+from tests.driver import SAFE, SETTINGS, Driver
 
+CROWD = int(COVER) + 1
 PROXIES, SERVERS, USUAL_MS = 5000, 10.0, 100.0
 START = FLOW_START * SERVERS / PROXIES
 PART_MS = USUAL_MS / START  # what one attempt takes up
@@ -89,3 +91,59 @@
 def test_few_proxies_have_no_pooled_limit() -> None:
     found = flow(proxies=3)
     assert all(use(found, float(i)) for i in range(50))
+
+
+# Retries of a crowd
+
+
+LONG = replace(SAFE, aim_ms=60_000, deadline_ms=60_000)  # no retry is left out for want of time
+
+
+def ended(proxies: int, *outcomes: Outcome) -> tuple[Driver, int]:
+    """A request whose attempts end so, one after the other; its driver and how many attempts it got."""
+    driver = Driver(replace(SETTINGS, proxies=proxies, classes=(LONG,)))
+    return driver, tried(driver, *outcomes)
+
+
+def tried(driver: Driver, *outcomes: Outcome) -> int:
+    driver.wait(60_000)  # pauses of servers that failed are over
+    request, _ = driver.request()
+    for i, outcome in enumerate(outcomes):
+        if len(driver.sent[request]) == i:
+            driver.wait(4000)  # a retry waits first
+        if len(driver.sent[request]) <= i:
+            break
+        driver.end(request, outcome)
+    driver.wait(4000)
+    return len(driver.sent[request])
+
+
+FAILS = (Outcome.ERROR, Outcome.ERROR, Outcome.ERROR)
+
+
+def test_what_fails_at_two_servers_alike_is_not_tried_at_a_third_by_a_crowd() -> None:
+    driver, count = ended(CROWD, *FAILS)
+    assert count == 2
+    # From there on nothing is repeated until something was served.
+    assert tried(driver, *FAILS) == 1
+    assert tried(driver, Outcome.OK) == 1
+    assert tried(driver, Outcome.ERROR, Outcome.OK) == 2
+
+
+def test_a_few_proxies_repeat_as_ever() -> None:
+    driver, count = ended(CROWD - 1, *FAILS)
+    assert count == 3 and tried(driver, *FAILS) == 3
+
+
+def test_one_servers_fault_is_no_common_one() -> None:
+    """Something was served between the two failures: the crowd's third attempt is made."""
+    driver = Driver(replace(SETTINGS, proxies=CROWD, classes=(LONG,)))
+    request, _ = driver.request()
+    other, _ = driver.request()
+    driver.end(request, Outcome.ERROR)
+    driver.end(other, Outcome.OK)
+    driver.wait(1000)
+    assert len(driver.sent[request]) == 2
+    driver.end(request, Outcome.ERROR)
+    driver.wait(4000)
+    assert len(driver.sent[request]) == 3
