--- a/cloverrouter/http3/wire.py
+++ b/cloverrouter/http3/wire.py
@@ -29,6 +29,7 @@
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
 from aioquic.quic.stream import QuicStream
+from cryptography.x509 import load_pem_x509_certificates
 
 from cloverrouter.http3.doors import ID_BYTES
 from cloverrouter.proxy.messages import MAX_HEAD
@@ -328,22 +329,31 @@
         super()._write_stream_limits(builder, space, stream)
 
 
-def client_settings(authority: str) -> QuicConfiguration:
-    """The library's settings for connections to servers whose certificates are signed by an authority in
-    `authority`, a PEM file. Raises OSError if it can't be read, ValueError if it can't be used."""
-    data = Path(authority).read_bytes()
-    if b"-----BEGIN CERTIFICATE-----" not in data:
-        raise ValueError(f"{authority}: has no CERTIFICATE in PEM form")
-    settings = QuicConfiguration(
-        is_client=True,
+def _settings(is_client: bool, window: int) -> QuicConfiguration:
+    """`window`: bytes of a stream that its sender may be ahead."""
+    return QuicConfiguration(
+        is_client=is_client,
         alpn_protocols=ALPN,
         connection_id_length=ID_BYTES,
         idle_timeout=IDLE_S,
         max_data=CONNECTION_WINDOW,
-        max_stream_data=ANSWER_WINDOW,
+        max_stream_data=window,
         max_datagram_size=1200,
         supported_versions=[QuicProtocolVersion.VERSION_1],
     )
+
+
+def client_settings(authority: str) -> QuicConfiguration:
+    """The library's settings for connections to servers whose certificates are signed by an authority in
+    `authority`, a PEM file. Raises OSError if it can't be read, ValueError if it can't be used."""
+    data = Path(authority).read_bytes()
+    if b"-----BEGIN CERTIFICATE-----" not in data:
+        raise ValueError(f"{authority}: has no CERTIFICATE in PEM form")
+    try:
+        load_pem_x509_certificates(data)  # danger: the library reads it when a server is to be believed
+    except ValueError as error:
+        raise ValueError(f"{authority}: {error}") from error
+    settings = _settings(is_client=True, window=ANSWER_WINDOW)
     settings.load_verify_locations(cadata=data)
     return settings
 
@@ -354,16 +364,7 @@
 
     Raises OSError if a file can't be read, ValueError if its content can't be used.
     """
-    settings = QuicConfiguration(
-        is_client=False,
-        alpn_protocols=ALPN,
-        connection_id_length=ID_BYTES,
-        idle_timeout=IDLE_S,
-        max_data=CONNECTION_WINDOW,
-        max_stream_data=STREAM_WINDOW,
-        max_datagram_size=1200,
-        supported_versions=[QuicProtocolVersion.VERSION_1],
-    )
+    settings = _settings(is_client=False, window=STREAM_WINDOW)
     chain, private = Path(certificate).read_bytes(), Path(key).read_bytes()
     for path, data, word in ((certificate, chain, b"CERTIFICATE"), (key, private, b"PRIVATE KEY")):
         if b"-----BEGIN " not in data or word + b"-----" not in data:
--- a/tests/http3/test_carrier.py
+++ b/tests/http3/test_carrier.py
@@ -17,10 +17,10 @@
 from cloverrouter.http3.wire import client_settings
 from cloverrouter.interface import Outcome, Sign
 from cloverrouter.lab.certificates import Authority
-from cloverrouter.lab.process import LONG_S
 from cloverrouter.lab.quic import LIBRARIES, Asked, QuicHost, Respond, done, silent
 from cloverrouter.proxy.messages import MOST_BODY, Answer, Call, Upload
 from cloverrouter.proxy.upstream import Host
+from tests.http3.scenes import played_in, until
 
 REJECTED, CANCELLED, NO_ERROR, INTERNAL = 0x10B, 0x10C, 0x100, 0x102
 
@@ -137,26 +137,7 @@
 
 
 def in_scene(**how: Any) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[[Path], None]]:
-    """A test that is played in a scene of its own."""
-
-    def played(play: Callable[[Scene], Awaitable[None]]) -> Callable[[Path], None]:
-        def test(tmp_path: Path) -> None:
-            async def run() -> None:
-                async with scene(tmp_path, **how) as s:
-                    await play(s)
-
-            asyncio.run(run())
-
-        test.__doc__ = play.__doc__
-        return test
-
-    return played
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(LONG_S):
-        while not condition():
-            await asyncio.sleep(0.005)
+    return played_in(lambda folder: scene(folder, **how))
 
 
 def interim(asked: Asked) -> None:
@@ -739,3 +720,16 @@
 
     asyncio.run(run())
 
+
+@pytest.mark.parametrize(
+    ("text", "why"),
+    [
+        ("no certificate", "has no CERTIFICATE in PEM form"),
+        ("-----BEGIN CERTIFICATE-----\nbm9uZQ==\n-----END CERTIFICATE-----\n", "authority.pem: "),
+    ],
+)
+def test_an_authority_that_cannot_be_used_is_told_at_once(tmp_path: Path, text: str, why: str) -> None:
+    file = tmp_path / "authority.pem"
+    file.write_text(text)
+    with pytest.raises(ValueError, match=why):
+        client_settings(str(file))
--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -22,6 +22,7 @@
 from cloverrouter.proxy.keeping import Keeping
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.validity import Gate
+from tests.http3.scenes import played_in, until
 
 HEAD = [(b":scheme", b"https"), (b":authority", b"localhost")]
 CLASSES = {
@@ -88,26 +89,7 @@
 
 
 def in_scene(**how: Any) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[[Path], None]]:
-    """A test that is played in a scene of its own."""
-
-    def played(play: Callable[[Scene], Awaitable[None]]) -> Callable[[Path], None]:
-        def test(tmp_path: Path) -> None:
-            async def run() -> None:
-                async with scene(tmp_path, **how) as s:
-                    await play(s)
-
-            asyncio.run(run())
-
-        test.__doc__ = play.__doc__
-        return test
-
-    return played
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    async with asyncio.timeout(20):
-        while not condition():
-            await asyncio.sleep(0.01)
+    return played_in(lambda folder: scene(folder, **how))
 
 
 @pytest.mark.parametrize("library", LIBRARIES)
