--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -127,6 +127,17 @@
         management.attach(node, listed)
         listed = management.listed
         node.observer = joined(node.observer, management.figures)
+    if os.environ.get("PROXY_TALLY"):
+        from cloverrouter.proxy.tally import EVERY_S, Tally
+
+        tally = Tally(node.view, lambda: {"connections": upstream.open, "connects": upstream.connects})
+        node.observer = joined(node.observer, tally)
+
+        def tell() -> None:
+            tally.tell()
+            loop.call_later(EVERY_S, tell)
+
+        loop.call_later(EVERY_S, tell)
     if told.known is not None:
         watch.resume(told.known.version)
         listed(ListKind.RESTORED, told.known)
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -497,6 +497,7 @@
         self._idle_s = idle_ms * IDLE_SHARE / 1000
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._pools: dict[Host, Pool] = {}
+        self.connects = 0  # begun, ever
         self.uses_seen = Uses()  # of all hosts' connections
         self.on_sign: Callable[[str, Sign], None] = lambda name, sign: None
         self.loop.call_later(SWEEP_S, self._sweep)
@@ -582,6 +583,7 @@
 
     async def _connect(self, pool: Pool, exchange: Exchange) -> None:
         address = pool.host[1]
+        self.connects += 1
         try:
             sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
         except OSError as error:  # no descriptor, no memory: not the host's fault
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -41,6 +41,7 @@
             assert "cloverrouter.proxy.node" in loaded  # the list is there
             ours = {name for name in loaded if name.startswith("cloverrouter.")}
             assert not [name for name in ours if name.split(".")[1] in DIRECTIONS]
+            assert "cloverrouter.proxy.tally" not in ours
             assert not [name for name in loaded if name.split(".")[0] in LIBRARIES]
 
     asyncio.run(scene())
