A crowd's draws and limits go by what servers report; hot proxies seek their part

Their pooled limit stood at its even start (18) and grew by a sixteenth of an attempt a round (`Flow.ended`, FLOW_GROWTH). Ruled out: time-outs (none), servers' own limits (2,500 over all against 170 out), paused servers (under 1), processor time (0.3 of 0.85 cores at most).

Change, for crowds only: the pooled limit grows a quarter of an attempt an answer, less as strain nears one; strain counts what servers report to hold, against 1.5 a core; draws weigh what others have there, by the last report, fading; what a server holds over that has time to be worked off; what is held wakes when a pause ends.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -87,18 +87,17 @@
 PART = 1.5
 PART_LEAST = 1.0
 BASE_WINDOW = 25  # answers in one sample of a class's unhurried latency
-# From this price of a crossing on, a request, draws follow the water-filled shares of the zones alone;
-# below it they are mixed with even ones, in proportion.
-DEAR_CROSSING = 0.05
 # All attempts out together: what a proxy starts with is its part of this many for each unit of weight of
 # the servers, about what keeps a core busy; it never falls under this part of that.
 FLOW_START = 3.0
 FLOW_LEAST = 0.1
-# Beyond the start it grows slower than a server's limit: it stands for all of them, and all proxies grow.
-FLOW_GROWTH = LIMIT_GROWTH / 4
-# Below one it is a guess at a part of the fleet that others may not use: it is sought in steps as large as
-# long as answers come in good time. What so many attempts need may be saved up.
-FLOW_SEEKS, FLOW_SAVED = 1.5, 3.0
+# It is a guess at a part of the fleet that others may not use: from one on each answer adds up to so much of
+# an attempt, less as strain nears one; below one it is sought in large steps. What a few need may be saved.
+FLOW_GROWTH, FLOW_SEEKS, FLOW_SAVED = 0.25, 1.5, 3.0
+# A crowd's servers should hold so many requests for each unit of weight, or core, by their reports: more only
+# wait there. What a report said of others' load counts half as much after so long.
+HELD_MOST = 1.5
+CROWD_HALF_MS = 1500.0
 # A proxy keeps to a window of the servers: of as many as give each this many proxies on average, enough
 # for their unequal traffic to even out; but not under the least, for two draws to mean something; and as
 # many as it meets each at least once in this many longest deadlines.
@@ -132,7 +131,7 @@
     """Do more proxies send to each server than can have an attempt each out there at all times?
 
     Up to then what each server answers tells a proxy enough, and limits for each server bound the sum.
-    Past it the exceptions for crowds act: the pooled limit, limits of less than one, water-filled zones.
+    Past it the exceptions for crowds act: the pooled limit, limits of less than one, what reports tell.
     """
     return settings.proxies > COVER
 
@@ -232,6 +231,8 @@
         self.cold_credit_ms: float | None = None  # when that was reckoned
         self.shown: Shown | None = None  # the work it does, while it is cold
         self.share = 1.0  # how readily it is drawn
+        self.crowd = 1.0  # by its last report, how much slower what others have there makes it
+        self.crowd_ms = float("-inf")
 
     @property
     def weight(self) -> float:
@@ -278,6 +279,15 @@
         self.slowness += GAIN * (slowness - self.slowness)
         self.judged_ms = now_ms
 
+    def told(self, now_ms: float, held: float, service_ms: float, longest_ms: float) -> float:
+        """It reported so many requests held, and so long for each: how full it is, 1 being what it should be.
+        Danger: one attempt each from forty proxies is a jam. What is over has time to be worked off first."""
+        each = held / max(1.0, self.weight)
+        self.crowd, self.crowd_ms = 1 + max(0.0, each - self.in_flight / max(1.0, self.weight)), now_ms
+        over_ms = min(longest_ms, (each - HELD_MOST) * service_ms)
+        self.paused_until_ms = max(self.paused_until_ms, now_ms + over_ms)
+        return each / HELD_MOST
+
     def adapt_limit(self, now_ms: float, latency_ms: float, strain: float, least: float) -> None:
         """Danger: servers fed faster than they serve slow down, time out and jam. Grow a little a round
         while answers come in good time, shrink in proportion to their slowness when they do not. Below
@@ -406,29 +416,14 @@
         return max(PART_LEAST, PART * weight / self.settings.proxies)
 
     def _share_out(self) -> None:
-        """How much of this zone's requests each zone gets.
-
-        Danger: where crossings cost, each proxy keeps to its own zone, and a zone with few servers jams
-        while others idle. Zones are taken to have the same traffic each: what a zone's servers can not
-        take of theirs goes to the zones with servers to spare, in proportion; no more needs to cross.
-        """
-        weights: dict[str, float] = {self.settings.zone: 0.0}
+        """How much of the requests each zone gets: what its servers weigh, wherever they come from."""
+        weights: dict[str, float] = {}
         self.rings = {}
         for e in sorted(self.ready, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name)):
             weights[e.listed.zone] = weights.get(e.listed.zone, 0.0) + e.weight
             self.rings.setdefault(e.listed.zone, []).append(e)
-        total, even, home = sum(weights.values()), 1 / len(weights), self.settings.zone
-        self.weight = total
-        self.shares = {}
-        if total <= 0:
-            return
-        spare = {zone: max(0.0, weight / total - even) for zone, weight in weights.items()}
-        at_home = min(1.0, weights[home] / total / even)
-        away = max(sum(spare.values()), 1e-9)
-        dear = min(1.0, self.settings.prices.cross_zone / DEAR_CROSSING) if crowded(self.settings) else 0.0
-        for zone, weight in weights.items():
-            filled = at_home if zone == home else (1 - at_home) * spare[zone] / away
-            self.shares[zone] = dear * filled + (1 - dear) * weight / total
+        self.weight = sum(weights.values())
+        self.shares = {zone: weight / self.weight for zone, weight in weights.items() if weight > 0}
 
     def window(self, now_ms: float, size: float, place: float) -> list[Endpoint]:
         """The servers with room among those this proxy keeps to: about `size` of them, zone by zone, from
@@ -529,7 +524,7 @@
             elif bound and self.limit < 1:
                 self.limit = min(1.0, FLOW_SEEKS * self.limit)
             elif bound:
-                self.limit += FLOW_GROWTH / self.limit
+                self.limit += FLOW_GROWTH * (1 - self.strain)
             self.limit = max(self.limit, self.least)
         if self.limit < 1:
             # Danger: with a pause behind each, whoever asks twice in a row is refused, while those who do not
@@ -545,6 +540,7 @@
     def __init__(self, random: Random, safety: Safety) -> None:
         self._random = random
         self.safety = safety
+        self.crowd = 1.0  # of a server on average, by the reports of late: of one that is long not heard
 
     def pick(self, now_ms: float, candidates: Sequence[Endpoint]) -> Endpoint | None:
         """The better of two different servers drawn by their shares; the only one, if there is just one."""
@@ -562,7 +558,9 @@
         return left[min(bisect(upto, self._random.random() * upto[-1]), len(left) - 1)]
 
     def score(self, now_ms: float, endpoint: Endpoint) -> float:
-        return endpoint.payoff * endpoint.warmth(now_ms, self.safety) / (1 + endpoint.in_flight)
+        fresh: float = 0.5 ** ((now_ms - endpoint.crowd_ms) / CROWD_HALF_MS)
+        crowd = self.crowd + fresh * (endpoint.crowd - self.crowd)
+        return endpoint.payoff * endpoint.warmth(now_ms, self.safety) / (1 + endpoint.in_flight) / crowd
 
 
 @dataclass(slots=True, eq=False)
@@ -647,7 +645,7 @@
         number = settings.number
         self.place = self.random.random() if number is None else number / settings.proxies
         self.flow = Flow(settings)
-        self.flow_timer_ms = 0.0
+        self.wake_ms = 0.0
         self.forgot_ms: float | None = None
         self.failed_calls = 0
         self.served_ms = float("-inf")  # when a request was last served
@@ -912,9 +910,6 @@
         tried = [a.endpoint for a in request.attempts]
         # A retry goes elsewhere; with nowhere else to go, back to where it failed.
         allowed = [e for e in allowed if e not in tried] or allowed
-        if not self.crowded and self.settings.prices.cross_zone >= DEAR_CROSSING:
-            # Danger: crossings that buy nothing. Limits that are informed tell when the local are full.
-            allowed = [e for e in allowed if e.listed.zone == self.settings.zone] or allowed
         endpoint = self.picker.pick(self.now_ms, allowed)
         if endpoint is not None:
             self._send(request, endpoint)
@@ -955,10 +950,13 @@
     def _send_held(self) -> None:
         """Walk the queue once; a walk costs little even when it is long and few servers have room."""
         roomy = self._roomy() if self.held else []
-        if self.held and self.now_ms < self.flow.closed_until_ms != self.flow_timer_ms:
-            self.flow_timer_ms = self.flow.closed_until_ms
-            self._set_timer(self.flow_timer_ms - self.now_ms, lambda: None)
         if not roomy:
+            # Danger: nothing else may happen here for long, and nobody would hear of a pause's end.
+            pauses = (e.paused_until_ms for e in self.membership.ready if e.paused_until_ms > self.now_ms)
+            wake_ms = max(self.flow.closed_until_ms, min(pauses, default=0.0))
+            if self.held and self.crowded and self.now_ms < wake_ms != self.wake_ms:
+                self.wake_ms = wake_ms
+                self._set_timer(wake_ms - self.now_ms, lambda: None)
             return
         still: list[tuple[float, int, Request]] = []
         # Danger: in an overload those that have waited longest are served late, and make the next late.
@@ -1088,7 +1086,8 @@
         attempt.endpoint.in_flight -= attempt.counted
         request.out -= 1
         self._weigh(request, attempt, event)
-        self._learn(request, attempt, event.latency_ms, self._reported_slowness(event.report))
+        full = self._told(attempt.endpoint, event.report)
+        self._learn(request, attempt, event.latency_ms, self._reported_slowness(event.report), full)
         if event.answered:
             self._finish(request)
         elif request.done:
@@ -1101,6 +1100,16 @@
         seen = [usual.target() for usual in self.latencies.values() if usual.seen]
         return min(seen, default=SLOWNESS_LEAST)
 
+    def _told(self, endpoint: Endpoint, report: tuple[float, ...] | None) -> float:
+        """How full its report shows it to be: what one of a crowd can't see in its own few attempts."""
+        told = dict(zip(self.settings.report_fields, report or (), strict=False))
+        if not self.crowded or "inflight" not in told:
+            return 0.0
+        service_ms, longest_ms = told.get("latency_ms", endpoint.latency_ms), self.longest_deadline_ms / 2
+        full = endpoint.told(self.now_ms, told["inflight"], service_ms, longest_ms)
+        self.picker.crowd += GAIN / 2 * (endpoint.crowd - self.picker.crowd)
+        return full
+
     def _reported_slowness(self, report: tuple[float, ...] | None) -> float:
         """How much waiting stretches the time of requests there, as the server tells it; 1 if unknown.
         Danger: a proxy that starts in the middle of an overload takes its latencies for unhurried."""
@@ -1110,7 +1119,9 @@
         held, waiting = report[fields.index("inflight")], report[fields.index("queue")]
         return held / max(1.0, held - waiting) if waiting > 0 else 1.0
 
-    def _learn(self, request: Request, attempt: Attempt, latency_ms: float, reported: float) -> None:
+    def _learn(
+        self, request: Request, attempt: Attempt, latency_ms: float, reported: float, full: float
+    ) -> None:
         outcome, cls = attempt.outcome, request.cls
         if outcome is Outcome.OK:
             self.budget.earn()
@@ -1120,7 +1131,7 @@
             self.flow.ended(self.now_ms, latency_ms, None)
             return
         good_ms = usual.in_good_time_ms()
-        slow = latency_ms / good_ms
+        slow = max(full, latency_ms / good_ms)
         self.flow.ended(self.now_ms, usual.base_ms, slow if outcome in (*WORKED, Outcome.TIMEOUT) else None)
         if outcome is Outcome.OK:
             slowness = usual.slowness(latency_ms)
