A crowd spreads its first question to discovery and repeats it less often

At fault: `handle` subscribed at once, and `reconnect_ms` let no proxy wait longer than 25 ms for each proxy of the fleet: 40 then ask 60 times a second of a service that answers some 10, and every call that is turned away takes of that.

Change: a crowd's proxy that knows a list spreads its first question over the longest span; that span grows by 125 ms for each proxy over a dozen (4 s for 40), the doubling up to it stays, and it may take half of the time after which the rule counts as told (5 s), in place of a quarter. A dozen proxies and fewer ask as before.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -417,7 +417,7 @@
 
     def _share_out(self) -> None:
         """How much of the requests each zone gets: what its servers weigh, wherever they come from."""
-        weights: dict[str, float] = {}
+        weights = {self.settings.zone: 0.0}
         self.rings = {}
         for e in sorted(self.ready, key=lambda e: (crc32(e.listed.name.encode()), e.listed.name)):
             weights[e.listed.zone] = weights.get(e.listed.zone, 0.0) + e.weight
@@ -662,8 +662,8 @@
         self.actions = []
         if not self.started:
             self.started = True
-            if self.settings.subscribe:
-                self.actions.append(Subscribe())
+            if self.settings.subscribe:  # a crowd may be starting at once, and knows a list
+                self._subscribe_soon() if self.crowded and events else self.actions.append(Subscribe())
         for event in events:
             match event:
                 case AttemptEnded():
@@ -719,11 +719,7 @@
             if self.failed_calls == 0:
                 self.actions.append(Log("discovery lost: asking again, the old list stands"))
             self.failed_calls += 1
-            # Danger: an unsubscribed proxy counts as told of drains and starts it has not heard of.
-            # Ask well inside the time the rule allows, jittered so that the proxies don't ask as one.
-            longest = self.settings.safety.must_ask_ms / 4
-            wait = reconnect_ms(self.failed_calls, self.settings.proxies, longest, self.random)
-            self._set_timer(wait, self._subscribe)
+            self._subscribe_soon()  # danger: an unsubscribed proxy counts as told of what it has not heard
         elif self.failed_calls:
             self.failed_calls = 0
             self.actions.append(Log("discovery back"))
@@ -792,8 +788,11 @@
                 )
                 self.actions.append(Log(text))
 
-    def _subscribe(self) -> None:
-        self.actions.append(Subscribe())
+    def _subscribe_soon(self) -> None:
+        # Well inside the time the rule allows, jittered so that the proxies don't ask as one.
+        longest_ms = self.settings.safety.must_ask_ms / 2
+        wait_ms = reconnect_ms(self.failed_calls, self.settings.proxies, longest_ms, self.random)
+        self._set_timer(wait_ms, lambda: self.actions.append(Subscribe()))
 
     def _on_settings(self, new: Settings) -> None:
         old = self.settings
--- a/cloverrouter/membership/watching.py
+++ b/cloverrouter/membership/watching.py
@@ -21,10 +21,11 @@
 # RFC 6298, section 2: the smoothing of round-trip times and of their deviation, and how far off is late.
 SMOOTH, SMOOTH_DEVIATION, DEVIATIONS = 1 / 8, 1 / 4, 4.0
 RHYTHM_SEEN = 2  # answers, before their lateness is believed
-FIRST_WAIT_MS = 200.0
-# A fleet that lost discovery at one moment comes back over a span as long, first and at most.
-WAIT_PER_PROXY_MS, MOST_PER_PROXY_MS = 4.0, 25.0
-LONGEST_WAIT_MS = 500.0  # of few proxies: they flood nobody, and what they can't know costs them requests
+# The first span of a wait, and the longest of few proxies: they flood nobody, and what they can't know costs
+# them requests. Each proxy more makes it longer. Danger: a service that works through calls in turn, and is
+# short of room, answers some ten a second, and those that it turns away take of that: forty that ask twice a
+# second each are never answered again.
+FEW, FIRST_WAIT_MS, LONGEST_WAIT_MS, MOST_PER_PROXY_MS = 12, 200.0, 500.0, 125.0
 SETTLED = 2  # answers of a lower counting, one after the other, after which it is believed to be the new one
 MOST_LEFT = 4096  # servers remembered as told to leave
 
@@ -32,12 +33,12 @@
 def reconnect_ms(failed: int, proxies: int, longest_ms: float, random: Random) -> float:
     """How long to wait after `failed` calls in a row, by full jitter (Brooker 2015).
 
-    Danger: a service that comes back meets all its proxies in the same moment. The span doubles each time,
-    and grows with the proxies; `longest_ms` bounds it, so that the rule on asking is kept.
+    Danger: a service that comes back meets all its proxies in the same moment. The span doubles each time, up
+    to one that grows with the proxies; `longest_ms` bounds it, so that the rule on asking is kept. Before the
+    first call (0) it is the longest: whoever knows a list can wait, and a fleet may be starting.
     """
-    first_ms = max(FIRST_WAIT_MS, WAIT_PER_PROXY_MS * proxies)
-    most_ms = min(longest_ms, max(LONGEST_WAIT_MS, MOST_PER_PROXY_MS * proxies))
-    return random.random() * min(most_ms, first_ms * 2.0 ** min(failed - 1, 16))
+    most_ms = min(longest_ms, LONGEST_WAIT_MS + MOST_PER_PROXY_MS * max(0, proxies - FEW))
+    return random.random() * (min(most_ms, FIRST_WAIT_MS * 2.0 ** min(failed - 1, 16)) if failed else most_ms)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/test_watching.py
+++ b/tests/membership/test_watching.py
@@ -67,13 +67,13 @@
 
 
 @pytest.mark.parametrize(
-    ("proxies", "first_ms", "most_ms"), [(1, 200, 500), (48, 200, 1200), (5000, 2500, 2500)]
+    ("failed", "proxies", "span_ms"),
+    [(1, 1, 200), (30, 1, 500), (0, 12, 500), (30, 12, 500), (1, 40, 200), (3, 40, 800), (0, 40, 4000)],
 )
-def test_waits_are_spread_over_a_span_that_grows(proxies: int, first_ms: float, most_ms: float) -> None:
-    for failed, span_ms in ((1, first_ms), (30, most_ms)):
-        waits = [reconnect_ms(failed, proxies, 2500.0, Random(seed)) for seed in range(400)]
-        assert 0 <= min(waits) < 0.05 * span_ms and 0.95 * span_ms < max(waits) <= span_ms
-        assert 0.4 * span_ms < sum(waits) / len(waits) < 0.6 * span_ms
+def test_waits_are_spread_over_a_span_that_grows(failed: int, proxies: int, span_ms: float) -> None:
+    waits = [reconnect_ms(failed, proxies, 5000.0, Random(seed)) for seed in range(400)]
+    assert 0 <= min(waits) < 0.05 * span_ms and 0.95 * span_ms < max(waits) <= span_ms
+    assert 0.4 * span_ms < sum(waits) / len(waits) < 0.6 * span_ms
 
 
 # Lists
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -7,8 +7,17 @@
 
 import pytest
 
-from cloverrouter.decide import COVER, CROWD_HALF_MS, HELD_MOST, Flow
-from cloverrouter.interface import AttemptEnded, Outcome, Send
+from cloverrouter.decide import COVER, CROWD_HALF_MS, HELD_MOST, Balancer, Flow
+from cloverrouter.interface import (
+    AttemptEnded,
+    EndpointsListed,
+    ListKind,
+    Outcome,
+    Send,
+    SetTimer,
+    Subscribe,
+    TimerFired,
+)
 from tests.driver import SETTINGS, Driver, endpoint
 
 FIELDS = ("inflight", "queue", "latency_ms")
@@ -124,3 +133,49 @@
                 report = (held, 0.0, 1.0)
                 driver.tell(AttemptEnded(request, 0, Outcome.OK, 20, True, report))
     assert (flow.limit > before) is grows
+
+
+class Turns:
+    """A discovery that works through calls in turn, `per_s` of them, and turns away what would wait for over
+    two seconds; so do what it turns away and what waits too long take a part of a call's work."""
+
+    def __init__(self, per_s: float, turned_away: float = 0.5) -> None:
+        self.each_ms, self.turned_away = 1000 / per_s, turned_away
+        self.free_ms = 0.0
+
+    def asked(self, now_ms: float) -> bool:
+        self.free_ms = max(self.free_ms, now_ms)
+        answered = self.free_ms - now_ms <= 2000
+        self.free_ms += self.each_ms * (1 if answered else self.turned_away)
+        return answered
+
+
+@pytest.mark.parametrize(("proxies", "per_s"), [(40, 7.5), (40, 15.0), (20, 7.5)])
+def test_a_fleet_that_starts_at_once_has_its_list_within_seconds(proxies: int, per_s: float) -> None:
+    """Danger: all ask at the same instant; those turned away ask again together, and are never answered."""
+    settings = replace(CROWD, proxies=proxies, subscribe=True)
+    service, told_ms = Turns(per_s), [float("inf")] * proxies
+    fleet = [Balancer(settings, seed) for seed in range(proxies)]
+    due: list[tuple[float, int, int | None]] = [(0.0, i, None) for i in range(proxies)]
+    while due and (first := min(due))[0] < 20_000:
+        due.remove(first)
+        now_ms, i, token = first
+        known = EndpointsListed(ListKind.RESTORED, (endpoint("s1"),))
+        actions = fleet[i].handle(now_ms, [known if token is None else TimerFired(token)])
+        for action in actions:
+            if not isinstance(action, Subscribe):
+                continue
+            if service.asked(now_ms):
+                told_ms[i] = now_ms
+            else:
+                actions += fleet[i].handle(now_ms, [EndpointsListed(ListKind.FAILED)])
+        due += [(now_ms + a.delay_ms, i, a.token) for a in actions if isinstance(a, SetTimer)]
+    late = sorted(told_ms)
+    assert late[int(0.9 * proxies)] <= 6000 and late[-1] <= 10_000
+
+
+def test_few_ask_at_once_and_whoever_knows_nobody_does() -> None:
+    known = EndpointsListed(ListKind.RESTORED, (endpoint("s1"),))
+    for settings, events in ((FEW, [known]), (CROWD, [])):
+        balancer = Balancer(replace(settings, subscribe=True), 1)
+        assert Subscribe() in balancer.handle(0.0, events)
