Reports tell how many cores a server has; a weight need not be their count

At fault: `Endpoint.told` divided by the weight, so that servers were kept to one request and a half each.

Change: what does not wait, while some does, is what a server can work on at once; before any has waited, the weight or the most that was seen at work.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -235,6 +235,7 @@
         self.share = 1.0  # how readily it is drawn
         self.crowd = 1.0  # by its last report, how much slower what others have there makes it
         self.crowd_ms = float("-inf")
+        self.cores = max(1.0, listed.weight)  # until its reports tell
         self.links, self.linked_ms = 0, float("-inf")  # own attempts out at once of late; its last answer
 
     @property
@@ -286,11 +287,14 @@
         self.slowness += GAIN * (slowness - self.slowness)
         self.judged_ms = now_ms
 
-    def told(self, now_ms: float, held: float, service_ms: float, longest_ms: float) -> float:
+    def told(self, now_ms: float, held: float, waiting: float, service_ms: float, longest_ms: float) -> float:
         """It reported so many requests held, and so long for each: how full it is, 1 being what it should be.
         Danger: one attempt each from forty proxies is a jam. What is over has time to be worked off first."""
-        each = held / max(1.0, self.weight)
-        self.crowd, self.crowd_ms = 1 + max(0.0, each - self.in_flight / max(1.0, self.weight)), now_ms
+        # Danger: a weight need not be a count of cores. While some wait, the others are all it can work on.
+        running = max(1.0, held - waiting)
+        self.cores = running if waiting >= 1 else max(self.cores, running)
+        each = held / self.cores
+        self.crowd, self.crowd_ms = 1 + max(0.0, each - self.in_flight / self.cores), now_ms
         over_ms = min(longest_ms, (each - HELD_MOST) * service_ms)
         self.paused_until_ms = max(self.paused_until_ms, now_ms + over_ms)
         return each / HELD_MOST
@@ -1085,7 +1089,8 @@
         if not self.crowded or "inflight" not in told:
             return 0.0
         service_ms, longest_ms = told.get("latency_ms", endpoint.latency_ms), self.longest_deadline_ms / 2
-        full = endpoint.told(self.now_ms, told["inflight"], service_ms, longest_ms)
+        held, waiting = told["inflight"], told.get("queue", 0.0)
+        full = endpoint.told(self.now_ms, held, waiting, service_ms, longest_ms)
         self.picker.crowd += GAIN / 2 * (endpoint.crowd - self.picker.crowd)
         return full
 
