Few proxies pay nothing for what only crowds use

Seen on reading the change once more: each end of an attempt read its report, and each look without room went over all servers, also at a dozen proxies and fewer, which use neither. Asked first now; the decisions are the same.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -92,8 +92,8 @@
 # It is a guess at a part of the fleet that others may not use: from one on each answer adds up to so much of
 # an attempt, less as strain nears one; below one it is sought in large steps. What a few need may be saved.
 FLOW_GROWTH, FLOW_SEEKS, FLOW_SAVED = 0.25, 1.5, 3.0
-# A crowd's servers should hold so many requests for each unit of weight, or core, by their reports: more only
-# wait there. What a report said of others' load counts half as much after so long.
+# A crowd's servers should hold so many requests for each that they can work on at once, as they report: more
+# only wait there. What a report said of others' load counts half as much after so long.
 HELD_MOST = 1.5
 CROWD_HALF_MS = 1500.0
 # A proxy keeps to a window of the servers: of as many as give each this many proxies on average, enough
@@ -931,13 +931,14 @@
     def _send_held(self) -> None:
         """Walk the queue once; a walk costs little even when it is long and few servers have room."""
         roomy = self._roomy() if self.held else []
-        if not roomy:
+        if not roomy and self.held and self.crowded:
             # Danger: nothing else may happen here for long, and nobody would hear of a pause's end.
             pauses = (e.paused_until_ms for e in self.membership.ready if e.paused_until_ms > self.now_ms)
             wake_ms = max(self.flow.closed_until_ms, min(pauses, default=0.0))
-            if self.held and self.crowded and self.now_ms < wake_ms != self.wake_ms:
+            if self.now_ms < wake_ms != self.wake_ms:
                 self.wake_ms = wake_ms
                 self._set_timer(wake_ms - self.now_ms, lambda: None)
+        if not roomy:
             return
         still: list[tuple[float, int, Request]] = []
         # Danger: in an overload those that have waited longest are served late, and make the next late.
@@ -1085,9 +1086,9 @@
 
     def _told(self, endpoint: Endpoint, report: tuple[float, ...] | None) -> float:
         """How full its report shows it to be: what one of a crowd can't see in its own few attempts."""
-        told = dict(zip(self.settings.report_fields, report or (), strict=False))
-        if not self.crowded or "inflight" not in told:
+        if not self.crowded or report is None or "inflight" not in self.settings.report_fields:
             return 0.0
+        told = dict(zip(self.settings.report_fields, report, strict=False))
         service_ms, longest_ms = told.get("latency_ms", endpoint.latency_ms), self.longest_deadline_ms / 2
         held, waiting = told["inflight"], told.get("queue", 0.0)
         full = endpoint.told(self.now_ms, held, waiting, service_ms, longest_ms)
