--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -13,7 +13,7 @@
 
 from bisect import bisect, insort
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from itertools import accumulate
 from math import ceil
 from random import Random
@@ -53,6 +53,7 @@
 from cloverrouter.membership.evidence import Evidence, Fleet
 from cloverrouter.membership.releases import SHOWN_SPAN, Release, Shown, cold_rate
 from cloverrouter.membership.watching import reconnect_ms
+from cloverrouter.values import replace
 
 # The paper's own figures.
 BUDGET_CAPACITY = 100.0
--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from cloverrouter.values import Value
+
 
 class Idempotency(Enum):
     """Whether a request that may have run can be sent again."""
@@ -89,8 +90,7 @@
     FAILED = "failed"  # a call to discovery failed or the subscription broke; nothing listed
 
 
-@dataclass(frozen=True, slots=True)
-class RequestClass:
+class RequestClass(Value):
     name: str
     aim_ms: float  # an answer within this earns the full worth
     deadline_ms: float
@@ -103,8 +103,7 @@
     streamed: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(Value):
     max_attempts: int = 3
     parallel_attempts: bool = False
     cancel: bool = False
@@ -115,8 +114,7 @@
     max_open: int = 0  # requests that the clients can have open here; more don't reach it. 0: not known
 
 
-@dataclass(frozen=True, slots=True)
-class Safety:
+class Safety(Value):
     """The figures of the rules on drains, discovery and cold endpoints."""
 
     cold_share: float = 1.0  # an endpoint starts with at least this share of its capacity
@@ -126,8 +124,7 @@
     must_ask_ms: float = 10_000.0  # unsubscribed proxies must ask discovery this often
 
 
-@dataclass(frozen=True, slots=True)
-class Prices:
+class Prices(Value):
     """Points taken off the result, as the site counts them."""
 
     cross_zone: float = 0.0  # an attempt that crosses zones, per first try
@@ -136,14 +133,12 @@
     late_fail: float = 0.0  # worth that ended unserved after its aim
 
 
-@dataclass(frozen=True, slots=True)
-class Tenant:
+class Tenant(Value):
     name: str
     quota_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class Settings:
+class Settings(Value):
     classes: tuple[RequestClass, ...]
     zone: str = ""
     proxies: int = 1  # client proxies that send to the same endpoints, this one included
@@ -151,9 +146,9 @@
     subscribe: bool = False  # discovery tells of changes only when asked
     report_fields: tuple[str, ...] = ()  # what a load report holds, in order
     worth_by_work: bool = False  # worth counts per unit of work, not per request
-    limits: Limits = field(default_factory=Limits)
-    safety: Safety = field(default_factory=Safety)
-    prices: Prices = field(default_factory=Prices)
+    limits: Limits = Limits()
+    safety: Safety = Safety()
+    prices: Prices = Prices()
     tenants: tuple[Tenant, ...] = ()
     over_quota_worth: float = 1.0  # share of its worth that a request over its tenant's quota keeps
 
@@ -175,8 +170,7 @@
             raise ValueError("safety.push_multiple and safety.push_window_ms must be positive")
 
 
-@dataclass(frozen=True, slots=True)
-class ListedEndpoint:
+class ListedEndpoint(Value):
     """One entry of discovery's list."""
 
     name: str
@@ -190,14 +184,12 @@
 # Events: what the proxy tells.
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointsListed:
+class EndpointsListed(Value):
     kind: ListKind
     endpoints: tuple[ListedEndpoint, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class RequestArrived:
+class RequestArrived(Value):
     request_id: int
     class_name: str
     deadline_ms: float | None = None  # on the clock, not a span; None: the class's own
@@ -210,8 +202,7 @@
     whole: bool = True  # its last byte has come; if not, its time counts from `RequestWhole` on
 
 
-@dataclass(frozen=True, slots=True)
-class SettingsChanged:
+class SettingsChanged(Value):
     """These settings hold for requests that come from here on; those that are open keep their class.
 
     What places the proxy among others stays as at the start: zone, proxies, number, subscribe, report fields.
@@ -220,16 +211,14 @@
     settings: Settings
 
 
-@dataclass(frozen=True, slots=True)
-class RequestWhole:
+class RequestWhole(Value):
     """The last byte has come of a request that arrived without it."""
 
     request_id: int
     deadline_ms: float | None = None  # as in `RequestArrived`
 
 
-@dataclass(frozen=True, slots=True)
-class StreamStarted:
+class StreamStarted(Value):
     """The answer has begun; from here the attempt is the client's."""
 
     request_id: int
@@ -237,8 +226,7 @@
     latency_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
+class AttemptEnded(Value):
     request_id: int
     attempt: int
     outcome: Outcome
@@ -248,28 +236,24 @@
     sign: Sign | None = None  # of a connection that did not come up, where that is known
 
 
-@dataclass(frozen=True, slots=True)
-class SignSeen:
+class SignSeen(Value):
     """A connection to an endpoint showed something, whatever becomes of the attempts."""
 
     endpoint: str
     sign: Sign
 
 
-@dataclass(frozen=True, slots=True)
-class RequestGone:
+class RequestGone(Value):
     """The client left; nothing more is owed."""
 
     request_id: int
 
 
-@dataclass(frozen=True, slots=True)
-class TimerFired:
+class TimerFired(Value):
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeEnded:
+class ProbeEnded(Value):
     endpoint: str
     outcome: Outcome
     latency_ms: float
@@ -293,60 +277,52 @@
 # Actions: what the balancer answers.
 
 
-@dataclass(frozen=True, slots=True)
-class Send:
+class Send(Value, aside=("begin_within_ms", "fresh")):
     """Start the next attempt of a request; attempts count from 0 in the order of their sends."""
 
     request_id: int
     endpoint: str
     timeout_ms: float
     # Not to go out later than this, however long its connection takes to come up.
-    begin_within_ms: float = field(default=float("inf"), compare=False)
+    begin_within_ms: float = float("inf")
     # On a connection of its own: it tries whether the endpoint is there, and a connection kept may be dead.
-    fresh: bool = field(default=False, compare=False)
+    fresh: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Refuse:
+class Refuse(Value, aside=("why",)):
     """Final answer: rejected, and harmless to try again."""
 
     request_id: int
     retry_after_ms: float = 0.0
-    why: Why | None = field(default=None, compare=False)
+    why: Why | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Fail:
+class Fail(Value, aside=("why",)):
     """Final answer: failed; whether it ran is not said."""
 
     request_id: int
-    why: Why | None = field(default=None, compare=False)
+    why: Why | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Cancel:
+class Cancel(Value):
     request_id: int
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
-class SetTimer:
+class SetTimer(Value):
     delay_ms: float
     token: int
 
 
-@dataclass(frozen=True, slots=True)
-class Probe:
+class Probe(Value):
     endpoint: str
 
 
-@dataclass(frozen=True, slots=True)
-class Subscribe:
+class Subscribe(Value):
     """Ask discovery for the changes missed, and for all that follow."""
 
 
-@dataclass(frozen=True, slots=True)
-class Log:
+class Log(Value):
     text: str
 
 
@@ -356,8 +332,7 @@
 # What the balancer believes, for people who ask. Reading it changes nothing.
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointView:
+class EndpointView(Value):
     """One endpoint as the module sees it at one moment. Spans are in ms, `warmth` from 0 to 1."""
 
     name: str
@@ -387,8 +362,7 @@
         return self.state is EndpointState.READY and sound
 
 
-@dataclass(frozen=True, slots=True)
-class BalancerView:
+class BalancerView(Value):
     endpoints: tuple[EndpointView, ...]
     requests: int  # known: waiting, out, or answered with an attempt still out
     held: int  # waiting for a server with room
--- a/cloverrouter/management/bans.py
+++ b/cloverrouter/management/bans.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 
 from cloverrouter.interface import EndpointState, ListKind
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
 from cloverrouter.roster.overlay import Drain, Overlay, UnknownServer
+from cloverrouter.values import replace
 
 MOST_REMEMBERED = 10_000  # ids; a fleet that renames its hosts must not grow this without end
 KEPT_MS = 600_000.0  # how long a host given back is remembered as such
--- a/cloverrouter/membership/watching.py
+++ b/cloverrouter/membership/watching.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
 from random import Random
 
 from cloverrouter.interface import EndpointState
 from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.values import Value, replace
 
 # Danger: a watch that has fallen silent looks just like one that waits; only after the wait can it be told.
 HOLD_S = 3.0
@@ -41,8 +41,7 @@
     return random.random() * (min(most_ms, FIRST_WAIT_MS * 2.0 ** min(failed - 1, 16)) if failed else most_ms)
 
 
-@dataclass(frozen=True, slots=True)
-class Question:
+class Question(Value):
     """`version` None: the whole list. `hold_s`: how long the answer may wait for news; `grace_s`: over
     that."""
 
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 import threading
@@ -16,6 +17,17 @@
 NICE = 10
 
 
+def load_without_tls() -> None:
+    """asyncio without `ssl`, which it can do without (its loops refuse TLS then), and which takes an eighth
+    of its time to load. What needs TLS is turned on by the operators' file alone.
+    """
+    sys.modules["ssl"] = None  # type: ignore[assignment]  # importing it raises ImportError
+    try:
+        import asyncio  # noqa: F401
+    finally:
+        del sys.modules["ssl"]
+
+
 def load_gently() -> None:
     """Load the program with a low priority, which belongs to the thread that does it and ends with it.
 
@@ -24,6 +36,8 @@
 
     def load() -> None:
         os.setpriority(os.PRIO_PROCESS, threading.get_native_id(), NICE)
+        if not os.environ.get("PROXY_SITE"):
+            load_without_tls()
         import cloverrouter.management
         import cloverrouter.proxy.service  # noqa: F401
 
@@ -34,13 +48,19 @@
 
 def main() -> int:
     presence = None
+    # Danger: what is loaded stays for good, and the collector would walk through it again and again.
+    gc.disable()
     if os.environ.get("PROXY_INHERITED_FD"):
         presence = Presence.found(os.environ.get("TMPDIR"))
         if presence is not None and presence.count() > 1:
             time.sleep(HEARD_S)
             load_gently()
+    if not os.environ.get("PROXY_SITE"):
+        load_without_tls()
     from cloverrouter.proxy.service import main as serve
 
+    gc.enable()
+    gc.freeze()
     return serve(presence=presence)
 
 
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -6,13 +6,11 @@
 from __future__ import annotations
 
 import json
+import socket
 import time
 import zlib
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
-from ipaddress import ip_address
 from math import isfinite
-from pathlib import Path
 from typing import Any, TypeVar
 
 from cloverrouter.interface import (
@@ -27,6 +25,7 @@
     Settings,
     Tenant,
 )
+from cloverrouter.values import Value, replace
 
 Json = dict[str, Any]
 Address = tuple[str, int]
@@ -108,14 +107,12 @@
 # Discovery's lists
 
 
-@dataclass(frozen=True, slots=True)
-class HostEntry:
+class HostEntry(Value):
     listed: ListedEndpoint
     address: Address | None  # None: it has left
 
 
-@dataclass(frozen=True, slots=True)
-class HostList:
+class HostList(Value):
     version: int
     full: bool
     entries: tuple[HostEntry, ...]
@@ -136,7 +133,10 @@
 
 def read_address(text: str) -> Address:
     host, _, port = text.rpartition(":")
-    ip_address(host)  # there is no DNS: a name would block on look-ups that can't succeed
+    try:  # there is no DNS: a name would block on look-ups that can't succeed
+        socket.inet_pton(socket.AF_INET6 if ":" in host else socket.AF_INET, host)
+    except OSError:
+        raise ValueError(f"no IP address: {text!r}; right is such as 127.0.0.1:3000") from None
     if not 0 < int(port) < 65536:
         raise ValueError(f"no port: {text!r}")
     return host, int(port)
@@ -186,8 +186,7 @@
 # The whole
 
 
-@dataclass(frozen=True, slots=True)
-class Config:
+class Config(Value):
     name: str
     listen: Address
     discovery: Address
@@ -234,6 +233,12 @@
     return None
 
 
+def _read_file(environ: Mapping[str, str]) -> Json:
+    with open(environ["PROXY_CONFIG"], encoding="utf-8") as file:
+        told: Json = json.load(file)
+    return told
+
+
 def reload(environ: Mapping[str, str], former: Config) -> Config:
     """What the file says now, where that can change in service: discovery's address and the settings.
 
@@ -241,7 +246,7 @@
     KeyError, ValueError, TypeError, AttributeError or OSError for a file that can't be used: nothing of
     it holds then.
     """
-    told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    told = _read_file(environ)
     # Danger: a file that was cut, or lost a key, would put defaults in place of what an operator had set.
     lost = missing({**told, "known": None}, former.told)
     if lost is not None:
@@ -255,7 +260,7 @@
 
 def load(environ: Mapping[str, str]) -> Config:
     """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
-    told: Json = json.loads(Path(environ["PROXY_CONFIG"]).read_text())
+    told = _read_file(environ)
     facts, clock = told["settings"], UnixClock()
     management = environ.get("PROXY_MANAGEMENT") or told.get("management")
     inherited = environ.get("PROXY_INHERITED_FD")
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -5,9 +5,10 @@
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Protocol
 
+from cloverrouter.values import Value
+
 MAX_BODY = 64 * 1024  # held whole, for either side; what is longer may be passed on as it comes
 MOST_BODY = 32 * 1024 * 1024  # of one message
 MAX_HEAD = 16 * 1024
@@ -24,8 +25,7 @@
     return True
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(Value):
     """A host's whole answer; or, with no body, the beginning of one that is passed on as it comes."""
 
     status: int
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -9,7 +9,6 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import replace
 from functools import lru_cache
 from typing import Protocol
 
@@ -50,6 +49,7 @@
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.observer import Final, Observer, Tried
 from cloverrouter.proxy.upstream import Host, OnBegin, OnEnd
+from cloverrouter.values import replace
 from cloverrouter.view import believed
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -8,9 +8,6 @@
 import resource
 import signal
 import sys
-import tempfile
-from dataclasses import replace
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from cloverrouter.interface import ListKind
@@ -23,6 +20,7 @@
 from cloverrouter.proxy.presence import Presence
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
+from cloverrouter.values import replace
 
 if TYPE_CHECKING:
     from cloverrouter.compose import Appliance
@@ -120,6 +118,9 @@
     management = None
     if told.management is not None:
         # Imported here: where the platform names no place for it, it costs nothing.
+        import tempfile
+        from pathlib import Path
+
         from cloverrouter.management import Management
 
         folder = Path(os.environ.get("TMPDIR") or tempfile.gettempdir())
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -11,7 +11,6 @@
 from abc import abstractmethod
 from collections.abc import Callable, Mapping
 from typing import Protocol
-from urllib.parse import unquote
 
 from cloverrouter.interface import Idempotency
 from cloverrouter.proxy.messages import MAX_HEAD, Answer, Call
@@ -43,6 +42,14 @@
     return int(value) if value.isdigit() and len(value) <= 10 and int(value) <= LONGEST_MS else None
 
 
+def _plain(text: bytes) -> str:
+    if b"%" not in text:
+        return text.decode("latin-1")
+    from urllib.parse import unquote  # here: few need it, and it takes long to load
+
+    return unquote(text.decode("latin-1"))
+
+
 class Head(dict[bytes, bytes]):
     """The fields of one message by their lower-case names, as they come."""
 
@@ -76,9 +83,9 @@
         self.idempotency_key = head.get(b"idempotency-key", b"")
         self.content_type = head.get(b"content-type", b"")
         path, _, query = target.partition(b"?")
-        self.class_name = unquote(path.split(b"/", 2)[1].decode("latin-1"))
+        self.class_name = _plain(path.split(b"/", 2)[1])
         keys = [part[4:] for part in query.split(b"&") if part.startswith(b"obj=")]
-        self.key = unquote(keys[0].decode("latin-1")) if keys else None
+        self.key = _plain(keys[0]) if keys else None
         self.tenant = head.get(b"x-tenant-id", b"").decode("latin-1") or None
         timeout = head.get(b"x-timeout-ms")
         self.timeout_ms = read_whole(timeout) if timeout is not None else None
--- a/cloverrouter/roster/overlay.py
+++ b/cloverrouter/roster/overlay.py
@@ -8,16 +8,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
 
 from cloverrouter.interface import EndpointState, ListKind
 from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.values import Value, replace
 
 MOST_DRAINS = 1000  # a script gone wrong must not grow the state without end
 
 
-@dataclass(frozen=True, slots=True)
-class Drain:
+class Drain(Value):
     """An operator's word that a server gets nothing new. `until_ms` None: until it is restored."""
 
     server: str
@@ -30,8 +29,7 @@
         return self.until_ms is not None and now_ms >= self.until_ms
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
+class Change(Value):
     """What one word of an operator, or an expiry, did. `tell` is what the module must hear; None: nothing."""
 
     server: str
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 
 from cloverrouter.decide import Balancer
 from cloverrouter.interface import (
@@ -26,6 +25,7 @@
     Settings,
     TimerFired,
 )
+from cloverrouter.values import replace
 
 SAFE = RequestClass("safe", aim_ms=500, deadline_ms=2000, worth=1, idempotency=Idempotency.SAFE)
 UNSAFE = replace(SAFE, name="unsafe", worth=5, idempotency=Idempotency.UNSAFE)
--- a/tests/membership/test_evidence.py
+++ b/tests/membership/test_evidence.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -43,6 +42,7 @@
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.upstream import Upstream
+from cloverrouter.values import replace
 from cloverrouter.view import believed
 from tests.driver import SETTINGS, Driver, delta, endpoint, full
 from tests.test_upstream import FakeCall, until
--- a/tests/roster/test_overlay.py
+++ b/tests/roster/test_overlay.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,6 +10,7 @@
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.roster import overlay
 from cloverrouter.roster.overlay import Change, Drain, Overlay, TooManyDrains, UnknownServer
+from cloverrouter.values import replace
 
 READY, LEAVING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from math import ceil
 
 import pytest
@@ -19,6 +18,7 @@
     Subscribe,
     TimerFired,
 )
+from cloverrouter.values import replace
 from tests.driver import SETTINGS, Driver, endpoint
 
 FIELDS = ("inflight", "queue", "latency_ms")
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cloverrouter.decide import COVER, FLOW_LEAST, FLOW_SAVED, FLOW_START, Flow
 from cloverrouter.interface import Outcome
+from cloverrouter.values import replace
 from tests.driver import SAFE, SETTINGS, Driver
 
 CROWD = int(COVER) + 1
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
 import sys
 from pathlib import Path
 
@@ -23,6 +24,14 @@
     return {line.rpartition("|")[2].strip() for line in log.splitlines() if line.startswith("import time:")}
 
 
+# What `run` may load beside asyncio, which takes most of a start: each module more is paid for by every proxy
+# of a fleet that restarts at once, divided by its part of a core.
+BESIDE_ASYNCIO = {
+    "__future__", "_bisect", "_json", "_random", "_sha512", "bisect", "copy", "dataclasses", "fcntl", "gc",
+    "httptools", "importlib", "json", "org", "pkgutil", "random", "resource", "runpy", "zlib",
+}  # fmt: skip
+
+
 def rss_kb(proxy: Proxy) -> int:
     lines = Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines()
     return int(next(line for line in lines if line.startswith("VmRSS")).split()[1])
@@ -43,6 +52,16 @@
             assert not [name for name in ours if name.split(".")[1] in DIRECTIONS]
             assert "cloverrouter.proxy.tally" not in ours
             assert not [name for name in loaded if name.split(".")[0] in LIBRARIES]
+            bare = [
+                sys.executable,
+                "-X",
+                "importtime",
+                "-c",
+                "import sys; sys.modules['ssl'] = None; import asyncio",
+            ]
+            usual = modules(subprocess.run(bare, capture_output=True, text=True, check=True).stderr)
+            more = {name.split(".")[0] for name in loaded - usual - ours} - {"cloverrouter"}
+            assert more <= BESIDE_ASYNCIO, f"loaded on top: {sorted(more - BESIDE_ASYNCIO)}"
 
     asyncio.run(scene())
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -42,6 +41,7 @@
 from cloverrouter.proxy import upstream
 from cloverrouter.proxy.keeping import MOST_EACH, Keeping
 from cloverrouter.proxy.messages import MAX_BODY, MOST_BODY, Upload
+from cloverrouter.values import replace
 from cloverrouter.view import believed
 from tests.driver import SAFE, SETTINGS, UNSAFE, Driver
 from tests.test_upstream import FakeCall, until
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -1,6 +1,5 @@
 """The ordinary path: budget, backoff, two draws, deadline."""
 
-from dataclasses import replace
 from random import Random
 
 import pytest
@@ -21,6 +20,7 @@
     Subscribe,
     TimerFired,
 )
+from cloverrouter.values import replace
 from tests.driver import SAFE, SETTINGS, Driver, delta, endpoint, full
 
 
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from random import Random
 
 from hypothesis import given, settings
@@ -39,6 +39,7 @@
     TimerFired,
 )
 from cloverrouter.membership.releases import SHOWN_PART
+from cloverrouter.values import replace
 from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, endpoint
 
 GRACE_MS = 20.0
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -7,7 +7,6 @@
 import json
 import signal
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -25,6 +24,7 @@
 from cloverrouter.lab.peers import SETTINGS as TOLD
 from cloverrouter.lab.peers import Client, Discovery, Host, Proxy, never, ok, raw, reset, running
 from cloverrouter.proxy.config import missing
+from cloverrouter.values import replace
 from cloverrouter.view import believed
 from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver, endpoint, full
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,5 @@
 """Rules 2 to 4 at the guard, case by case, and the exceptions that answer a failure seen."""
 
-from dataclasses import replace
 
 import pytest
 
@@ -18,6 +17,7 @@
     Send,
     SetTimer,
 )
+from cloverrouter.values import replace
 from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver, delta, endpoint, full
 
 
--- a/tests/test_tally.py
+++ b/tests/test_tally.py
@@ -4,7 +4,6 @@
 
 import json
 import logging
-from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import cast
@@ -16,6 +15,7 @@
 from cloverrouter.proxy.messages import Call
 from cloverrouter.proxy.observer import Final, Tried
 from cloverrouter.proxy.tally import Tally
+from cloverrouter.values import replace
 from cloverrouter.view import believed
 from tests.driver import SETTINGS, Driver
 
