A crowd's cold servers are drawn up to their credit, not left idle beside jammed ones

At fault: `Picker._draw` and `Picker.score`. A server new to all proxies has no connection free to any: a sixth of the draws, 0.6 of the score; and its warmth (0.3 at first) marks it down again, though `_cold_room` lets it have no more than its part anyway. A crowd's draws take cold servers as if connected to, and their score is not marked down; what they get is bounded by the credit as before. Few proxies: unchanged.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -545,18 +545,24 @@
 
     def _draw(self, now_ms: float, candidates: Sequence[Endpoint], but: Endpoint | None) -> Endpoint:
         left = [e for e in candidates if e is not but]
-        shares = (e.share * (LINKED_DRAWS if self._crowded and e.linked(now_ms) else 1) for e in left)
+        shares = (e.share * (LINKED_DRAWS if self._crowded and self._at_hand(now_ms, e) else 1) for e in left)
         upto = list(accumulate(shares))
         if upto[-1] <= 0:
             return left[self._random.randrange(len(left))]
         return left[min(bisect(upto, self._random.random() * upto[-1]), len(left) - 1)]
 
+    def _at_hand(self, now_ms: float, endpoint: Endpoint) -> bool:
+        """Danger: to a crowd a cold server is new; with no connection to it, and marked down for being cold,
+        it idles for seconds while all else is overdriven. Its credit alone bounds what it gets."""
+        return endpoint.linked(now_ms) or endpoint.warmth(now_ms, self.safety) < 1
+
     def score(self, now_ms: float, endpoint: Endpoint) -> float:
         fresh: float = 0.5 ** ((now_ms - endpoint.crowd_ms) / CROWD_HALF_MS)
         crowd = self.crowd + fresh * (endpoint.crowd - self.crowd)
-        if self._crowded and not endpoint.linked(now_ms):
+        if self._crowded and not self._at_hand(now_ms, endpoint):
             crowd /= UNLINKED_SCORE
-        return endpoint.payoff * endpoint.warmth(now_ms, self.safety) / (1 + endpoint.in_flight) / crowd
+        warmth = 1.0 if self._crowded else endpoint.warmth(now_ms, self.safety)
+        return endpoint.payoff * warmth / (1 + endpoint.in_flight) / crowd
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -19,7 +19,7 @@
     TimerFired,
 )
 from cloverrouter.values import replace
-from tests.driver import SETTINGS, Driver, endpoint
+from tests.driver import SETTINGS, Driver, delta, endpoint
 
 FIELDS = ("inflight", "queue", "latency_ms")
 CROWD = replace(SETTINGS, proxies=int(COVER) + 1, report_fields=FIELDS)
@@ -234,3 +234,25 @@
     for settings, events in ((FEW, [known]), (CROWD, [])):
         balancer = Balancer(replace(settings, subscribe=True), 1)
         assert Subscribe() in balancer.handle(0.0, events)
+
+
+@pytest.mark.parametrize(("settings", "least"), [(CROWD, 0.8), (FEW, 0.0)])
+def test_servers_that_are_new_to_all_get_what_they_may_be_sent(settings: Settings, least: float) -> None:
+    """Danger: six in ten of a fleet are new at once, with connections to none of them; marked down for that
+    and for being cold they idle, and the others are driven into their slow state."""
+    old, new, span_ms, gap_ms = range(6), range(6), 3000.0, 50.0
+    got = allowed = 0.0
+    for seed in range(12):
+        driver = Driver(settings, [endpoint(f"old{i}") for i in old], seed)
+        driver.serve(60, latency_ms=gap_ms)
+        began_ms = driver.now_ms
+        driver.tell(delta(*(endpoint(f"new{i}", started_ms=began_ms) for i in new)))
+        before = len(driver.sent)
+        driver.serve(int(span_ms / gap_ms), latency_ms=gap_ms)
+        got += sum(sent[0].startswith("new") for sent in list(driver.sent.values())[before:])
+        # Of a warm server's part, that which a cold one has of its capacity in the mean over the span.
+        safety = settings.safety
+        share = safety.cold_share + (1 - safety.cold_share) * span_ms / 2 / safety.cold_ms
+        allowed += len(new) * share * (span_ms / gap_ms / len(old))
+    # What they show to do raises it (`cold_rate`), up to five sixths of the push that they must not get.
+    assert least <= got / allowed <= 5 / 6 * safety.push_multiple
