A window keeps its place: full servers are not replaced by others on the ring

Answers, and so reports, come after the queue; each proxy has one attempt out before it knows.

At fault: `Membership.window`: servers without room were replaced by the next on the ring, so that windows reach on in an overload and each server is met by ever more proxies.

Change: a full or paused server keeps its place; a doubted one is replaced as before, and anywhere will do where the whole window has no room. Up to twelve proxies the window is all servers: unchanged.

The window's test says what it does now, and fails with either half of the condition taken out.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -419,19 +419,21 @@
 
     def window(self, now_ms: float, size: float, place: float) -> list[Endpoint]:
         """The servers with room among those this proxy keeps to: about `size` of them, zone by zone, from
-        `place` (0 to 1) of each zone's ring on; those without room are replaced by the next."""
+        `place` (0 to 1) of each zone's ring on; a doubted one is replaced by the next. Danger: were full ones
+        replaced, an overload would have each server met by ever more who do not know yet how full it is."""
         found: list[Endpoint] = []
         for zone, share in self.shares.items():
             ring = self.rings.get(zone, [])
             wanted = min(len(ring), ceil(size * share - 1e-9)) if share > 1e-9 else 0
-            start, weight, mine = int(place * len(ring)), 0.0, []
+            start, weight, kept, mine = int(place * len(ring)), 0.0, 0, []
             for i in range(len(ring) if wanted else 0):
                 e = ring[(start + i) % len(ring)]
+                kept += not (e.evidence.against and e.evidence.doubted(now_ms))
                 if e.has_room(now_ms):
                     mine.append(e)
                     weight += e.weight
-                    if len(mine) == wanted:
-                        break
+                if kept == wanted:
+                    break
             for e in mine:
                 e.share = share * (e.weight / weight if weight else 1 / len(mine))
             found += mine
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,6 +1,5 @@
 """Rules 2 to 4 at the guard, case by case, and the exceptions that answer a failure seen."""
 
-
 import pytest
 
 from cloverrouter import decide
@@ -16,6 +15,8 @@
     RequestArrived,
     Send,
     SetTimer,
+    Sign,
+    SignSeen,
 )
 from cloverrouter.values import replace
 from tests.driver import KEYED, SAFE, SETTINGS, UNSAFE, Driver, delta, endpoint, full
@@ -343,13 +344,25 @@
     assert len(few.balancer._roomy()) == 12
 
 
-def test_a_window_whose_servers_are_paused_reaches_further() -> None:
+def test_a_window_reaches_further_for_servers_that_are_gone_not_for_full_ones() -> None:
+    """Danger: in an overload each proxy's window would reach on, and a server that is full already be tried
+    by more and more who do not know it yet."""
     servers = [endpoint(f"s{i}") for i in range(12)]
     driver = Driver(replace(SETTINGS, proxies=240, number=0), servers)
     before = driver.balancer._roomy()
+    assert len(before) < 6
     before[0].failed(driver.now_ms, 500, 1000)
+    assert driver.balancer._roomy() == before[1:]
+    for e in before:
+        e.failed(driver.now_ms, 500, 1000)
+    others = driver.balancer._roomy()  # nowhere else to go: anywhere
+    assert len(others) == 12 - len(before) and not set(others) & set(before)
+    driver.wait(5000)
+    driver.tell()
+    assert driver.balancer._roomy() == before
+    driver.tell(SignSeen(before[0].listed.name, Sign.REFUSED))
     after = driver.balancer._roomy()
-    assert len(after) == len(before) and before[0] not in after
+    assert len(after) == len(before) and after[:-1] == before[1:]
 
 
 def test_held_requests_that_can_make_their_aim_go_before_those_that_cannot() -> None:
