Last reading: a value made from another keeps its fields; TLS untouched with a site file

Seen on reading the change once more: - `values.Value`: a class made from another lost that one's fields; they come first now. - `__main__.load_without_tls`: the condition stood at both calls, and a second call took a loaded `ssl` out of `sys.modules`; it stands inside, once. - `Endpoint.doubted` says once what `has_room` and `window` each wrote. - No test showed that a list with an address that is none stays a ValueError (an OSError would end the watch), that the collector runs again, nor that a site file leaves TLS alone: tests added.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -252,9 +252,12 @@
             self.in_flight < max(1.0, self.limit)
             and now_ms >= self.paused_until_ms
             and not self.silent(now_ms)
-            and not (self.evidence.against and self.evidence.doubted(now_ms))
+            and not self.doubted(now_ms)
         )
 
+    def doubted(self, now_ms: float) -> bool:
+        return bool(self.evidence.against) and self.evidence.doubted(now_ms)
+
     def linked(self, now_ms: float) -> bool:
         """Is a connection to it free, as far as attempts tell?"""
         return self.in_flight < self.links and now_ms - self.linked_ms < LINKED_MS
@@ -428,7 +431,7 @@
             start, weight, kept, mine = int(place * len(ring)), 0.0, 0, []
             for i in range(len(ring) if wanted else 0):
                 e = ring[(start + i) % len(ring)]
-                kept += not (e.evidence.against and e.evidence.doubted(now_ms))
+                kept += not e.doubted(now_ms)
                 if e.has_room(now_ms):
                     mine.append(e)
                     weight += e.weight
--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -19,8 +19,10 @@
 
 def load_without_tls() -> None:
     """asyncio without `ssl`, which it can do without (its loops refuse TLS then), and which takes an eighth
-    of its time to load. What needs TLS is turned on by the operators' file alone.
+    of its time to load. What needs TLS is turned on by the operators' file alone: with one, nothing is done.
     """
+    if os.environ.get("PROXY_SITE") or "asyncio" in sys.modules:
+        return
     sys.modules["ssl"] = None  # type: ignore[assignment]  # importing it raises ImportError
     try:
         import asyncio  # noqa: F401
@@ -36,8 +38,7 @@
 
     def load() -> None:
         os.setpriority(os.PRIO_PROCESS, threading.get_native_id(), NICE)
-        if not os.environ.get("PROXY_SITE"):
-            load_without_tls()
+        load_without_tls()
         import cloverrouter.management
         import cloverrouter.proxy.service  # noqa: F401
 
@@ -55,8 +56,7 @@
         if presence is not None and presence.count() > 1:
             time.sleep(HEARD_S)
             load_gently()
-    if not os.environ.get("PROXY_SITE"):
-        load_without_tls()
+    load_without_tls()
     from cloverrouter.proxy.service import main as serve
 
     gc.enable()
--- a/cloverrouter/values.py
+++ b/cloverrouter/values.py
@@ -27,9 +27,9 @@
     _checked: ClassVar[bool] = False
 
     def __init_subclass__(cls, aside: tuple[str, ...] = ()) -> None:
-        cls.names = tuple(get_annotations(cls))
+        cls.names = (*cls.names, *get_annotations(cls))  # those of the class that it is made from come first
         cls._all = frozenset(cls.names)
-        cls._required = frozenset(name for name in cls.names if name not in cls.__dict__)
+        cls._required = frozenset(name for name in cls.names if not hasattr(cls, name))
         cls._compared = tuple(name for name in cls.names if name not in aside)
         cls._checked = hasattr(cls, "__post_init__")
 
--- a/tests/test_footprint.py
+++ b/tests/test_footprint.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import subprocess
 import sys
 from pathlib import Path
 
+import pytest
+
 from cloverrouter.lab.peers import Discovery, Host, Proxy, running
 from tests.standins.appliance import boxed
 
@@ -66,6 +69,20 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("site", ["", "site.toml"])
+def test_what_needs_tls_finds_it_and_the_collector_runs_once_all_is_loaded(site: str) -> None:
+    code = (
+        "import gc, sys; from cloverrouter.proxy.__main__ import main; code = main(); "
+        "import asyncio.sslproto as tls, ssl; "
+        "print(code, gc.isenabled(), gc.get_freeze_count() > 1000, tls.ssl is ssl)"
+    )
+    environ = {**os.environ, "PROXY_CONFIG": "/none", "PROXY_SITE": site}
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, env=environ, check=True
+    )
+    assert done.stdout.split() == ["2", "True", "True", str(bool(site))]
+
+
 def test_without_a_file_it_takes_less_memory_than_with_one() -> None:
     async def scene() -> None:
         hosts, discovery = [await Host("h0").start()], await Discovery().start()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -310,3 +310,13 @@
     again = read_list(json.loads('{"version":1,"full":true,"servers":[]}'), clock)
     assert not again.entries
     assert started.listed.started_ms == clock.monotonic_ms(1_700_000_000_000)
+
+
+@pytest.mark.parametrize(
+    "address", ["db.local:3000", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:x", "[::1]:3000", ""]
+)
+def test_a_list_with_an_address_that_is_none_is_no_list(address: str) -> None:
+    """Danger: any other error would end the watch, and discovery would never be heard again."""
+    entry = {"id": "s1", "addr": address, "state": "active"}
+    with pytest.raises(ValueError):
+        read_list({"version": 1, "full": True, "servers": [entry]}, UnixClock())
--- a/tests/test_values.py
+++ b/tests/test_values.py
@@ -59,6 +59,15 @@
     assert pickle.loads(pickle.dumps(point)) == point
 
 
+def test_what_is_made_from_another_has_its_fields_first() -> None:
+    class Place(Point):
+        name: str = "here"
+
+    assert Place(1, name="there").x == 1 and Place(1) != Place(1, name="there")
+    with pytest.raises(TypeError, match=r"Place\(x, y="):
+        Place()  # type: ignore[call-arg]
+
+
 def test_a_check_holds_for_replaced_ones_too() -> None:
     settings = Settings((RequestClass("a", 1.0, 2.0, idempotency=Idempotency.SAFE),))
     assert settings.limits is Settings(settings.classes).limits and settings.limits == Limits()
