Lab: proxies that are stopped or starved, in simulated time and by signals

Need: scenarios and later pieces are to stop proxies as they kill them.

Change: kinds of faults `stop` and `starve`. A client whose proxy stood while it waited is owed no answer in time; whatever goes out for it after its end still breaks rule 1.

--- a/cloverrouter/lab/faults.py
+++ b/cloverrouter/lab/faults.py
@@ -15,6 +15,7 @@
 from cloverrouter.lab.server import Server
 
 T = TypeVar("T")
+PIECE_S = 0.1  # of a process that has a share of a core: as Linux's CFS hands it out
 
 
 class World(Protocol):
@@ -45,6 +46,11 @@
 
     def start(self, proxy: str) -> None: ...
 
+    def stand(self, proxy: str) -> None:
+        """It stands still from here on, and nobody can tell it from one that is slow."""
+
+    def go_on(self, proxy: str) -> None: ...
+
     def proxy_names(self) -> list[str]: ...
 
     def noted(self, from_s: float, to_s: float, text: str, servers: list[str]) -> None:
@@ -291,12 +297,35 @@
         return end
 
     def _kill(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
-        return self._stop(self._proxies(fault, draws), self._world.kill)
+        return self._end(self._proxies(fault, draws), self._world.kill)
 
     def _restart(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
-        return self._stop(self._proxies(fault, draws), self._world.terminate)
+        return self._end(self._proxies(fault, draws), self._world.terminate)
+
+    def _stop(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
+        names = self._proxies(fault, draws)
+        for name in names:
+            self._world.stand(name)
+        return self._each(names, self._world.go_on)
+
+    def _starve(self, fault: Trouble, draws: Draws, befalls: list[Server]) -> Callable[[], None]:
+        on, names = [True], self._proxies(fault, draws)
+
+        def piece(name: str) -> None:
+            if on[0]:
+                self._world.stand(name)
+                self._world.loop.call_later((1 - fault.share) * PIECE_S, self._world.go_on, name)
+                self._world.loop.call_later(PIECE_S, piece, name)
+
+        for name in names:
+            self._world.loop.call_later(PIECE_S * draws.uniform(), piece, name)
+
+        def end() -> None:
+            on[0] = False
+
+        return end
 
-    def _stop(self, names: list[str], how: Callable[[str], None]) -> Callable[[], None]:
+    def _end(self, names: list[str], how: Callable[[str], None]) -> Callable[[], None]:
         for name in names:
             how(name)
         return self._each(names, self._world.start)
--- a/cloverrouter/lab/scenario.py
+++ b/cloverrouter/lab/scenario.py
@@ -194,10 +194,12 @@
     "heavy": "`share` of the `classes` requests cost `factor` times the usual",
     "kill": "proxies die; after `for_s` they start again from nothing",
     "restart": "proxies get SIGTERM; after `for_s` they start again",
+    "stop": "proxies stand still (SIGSTOP) for `for_s`",
+    "starve": "proxies get `share` of their time, in pieces",
     "loss": "`share` of the messages are lost, and come late",
     "delay": "messages between machines take `factor` times as long",
 }
-PROXY_KINDS = ("kill", "restart")
+PROXY_KINDS = ("kill", "restart", "stop", "starve")
 WHOLE_KINDS = (
     "silence", "stale", "lower_version", "break_calls", "contradict", "load", "hover", "heavy", "loss",
     "delay", "hall_lost", "cut",
@@ -324,6 +326,11 @@
                     faults.append(Fault(f"{where}.{key}", f"{pattern!r} fits none", wrong.right))
         if fault.kind == "cut" and not (fault.from_ and fault.to):
             faults.append(Fault(f"{where}.from", "a cut needs from and to", "name who is cut from whom"))
+        if fault.kind == "stop" and not fault.for_s:
+            faults.append(Fault(f"{where}.for_s", "is missing", "say for how many seconds they stand still"))
+        if fault.kind == "starve" and not 0 < fault.share < 1:
+            right = "give a share above 0 and below 1"
+            faults.append(Fault(f"{where}.share", f"is {fault.share:g}", right))
         if fault.kind == "hall_lost" and not fault.halls:
             faults.append(Fault(f"{where}.halls", "is missing", f"name some of {', '.join(halls)}"))
     for key in s.proxies.module:
--- a/cloverrouter/lab/simulation.py
+++ b/cloverrouter/lab/simulation.py
@@ -185,6 +185,12 @@
         else:
             found.start(self.registry.listing())
 
+    def stand(self, proxy: str) -> None:
+        self._proxy(proxy).stand()
+
+    def go_on(self, proxy: str) -> None:
+        self._proxy(proxy).go_on()
+
     def _proxy(self, name: str) -> SimProxy:
         return self.proxies[int(name.removeprefix("p-"))]
 
--- a/cloverrouter/lab/sockets.py
+++ b/cloverrouter/lab/sockets.py
@@ -64,6 +64,8 @@
         self.registry.on_change = self._listed
         self.proxies: dict[str, ProxyProcess] = {}
         self._stopped: set[str] = set()  # told to end, or killed
+        self._standing: set[str] = set()
+        self._stood_s: dict[str, float] = {}  # until when they last did
         self._ports: dict[int, list[HttpPort]] = {}
         self._late: list[float] = []
         self._before: dict[str, str] = {}  # servers that took over an address, and whose
@@ -191,7 +193,8 @@
 
     def _lost(self, ask: Ask) -> None:
         """No answer came in time, or its connection broke."""
-        if self.proxies[f"p-{ask.proxy}"].up and f"p-{ask.proxy}" not in self._stopped:
+        up = self.proxies[f"p-{ask.proxy}"].up and f"p-{ask.proxy}" not in self._stopped
+        if up and not self._stood(ask):
             self.monitors.waited_out(self.loop.time(), ask.number)
         self.monitors.forget(self.loop.time(), ask.number)
 
@@ -284,6 +287,20 @@
             self.proxies[proxy].start()
             self._stopped.discard(proxy)
 
+    def stand(self, proxy: str) -> None:
+        self.proxies[proxy].signal(signal.SIGSTOP)
+        self._standing.add(proxy)
+
+    def go_on(self, proxy: str) -> None:
+        self._standing.discard(proxy)
+        self._stood_s[proxy] = self.loop.time()
+        self.proxies[proxy].signal(signal.SIGCONT)
+
+    def _stood(self, ask: Ask) -> bool:
+        """Did its proxy stand still while it waited? Then its answer could not come in time."""
+        name = f"p-{ask.proxy}"
+        return name in self._standing or self._stood_s.get(name, 0.0) > ask.sent_s
+
     def proxy_names(self) -> list[str]:
         return self._names
 
