--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -174,6 +174,7 @@
         settings = self._told.settings
         if not self._site.control.enabled:
             return
+        self._node.wake.on_told = lambda text: self._event("standing", {"text": text})
         names = [cls.name for cls in settings.classes]
         book = self._book = Book(names, _now_ms, lambda text: self._event("module", {"text": text}))
         self._node.observer = frontend.observer = joined(self._node.observer, book)
@@ -189,7 +190,8 @@
             lambda: self._protocols(frontend),
             lambda server: "HTTP/1.1" if self._carrier is None else self._carrier.told(server),
             lambda: frontend.gate.stopping,
-            self._alarms.texts,
+            self._told_alarms,
+            self._node.wake.told,
             lambda: None if self._box is None else self._box.role(),
             settings.report_fields,
             book,
@@ -215,6 +217,10 @@
             raise StartError(f"[control]: {error}") from error
         log.info("control: listens at %s", control.socket)
 
+    def _told_alarms(self) -> list[str]:
+        stood = self._node.wake.alarm()
+        return [*self._alarms.texts(), *([stood] if stood else [])]
+
     def _protocols(self, frontend: Frontend) -> Json:
         found: Json = {"clients": {"HTTP/1.1": frontend.count}}
         if self._http3 is not None:
--- a/cloverrouter/control/tell.py
+++ b/cloverrouter/control/tell.py
@@ -45,6 +45,7 @@
     protocol: Callable[[str], str]  # by which a server is asked now
     stopping: Callable[[], bool]
     alarms: Callable[[], list[str]]
+    standing: Callable[[], Json]  # how often and for how long this process stood still
     pair: Callable[[], Json | None]  # the role of a box of a pair; None: it is none
     report_fields: tuple[str, ...]
     book: Book
@@ -88,6 +89,7 @@
         "retry_tokens": round(view.retry_tokens, 1),
         "discovery": "lost" if view.discovery_lost else "well",
         "alarms": alarms,
+        "standing": sources.standing(),
         "pair": sources.pair(),
         "last_event": sources.events.last,
         **totals(sources),
--- a/cloverrouter/lab/stops.py
+++ b/cloverrouter/lab/stops.py
@@ -168,10 +168,12 @@
     slack_s: float = SLACK_S,
     command: list[str] | None = None,
     environ: dict[str, str] | None = None,
+    first: int | None = None,
     then: int | None = None,
 ) -> Seen:
-    """One run. `stops`: for so many seconds each it runs, and then stands; `then`: a signal that it gets as
-    it wakes, after which it may end. Bounded by the stops, in time; `rate` is of requests a second."""
+    """One run. `stops`: for so many seconds each it runs, and then stands; `first`: a signal that it gets
+    before the first of them, `then`: as it wakes; after either it may end. Bounded by the stops, in time;
+    `rate` is of requests a second."""
     seen = Seen(patience_s, slack_s)
     hosts = [await working_host(f"s-{i}", seen.account, work_s) for i in range(servers)]
     discovery = await Discovery().start()
@@ -182,6 +184,8 @@
         load = loop.create_task(clients.run())
         try:
             await asyncio.sleep(BEFORE_S)
+            if first is not None:
+                proxy.signal(first)
             for runs_s, stands_s in stops:
                 await asyncio.sleep(runs_s)
                 proxy.signal(signal.SIGSTOP)
@@ -191,7 +195,7 @@
                 proxy.signal(signal.SIGCONT)
             if then is not None:
                 proxy.signal(then)
-            await asyncio.sleep(after_s if then is None else 0.0)
+            await asyncio.sleep(after_s if first is None and then is None else 0.0)
         finally:
             with suppress(ProcessLookupError):
                 proxy.signal(signal.SIGCONT)
--- a/cloverrouter/membership/standing.py
+++ b/cloverrouter/membership/standing.py
@@ -10,7 +10,9 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable, Mapping
 from enum import Enum
+from typing import Protocol, TypeVar
 
 from cloverrouter.interface import Idempotency
 from cloverrouter.values import Value
@@ -28,6 +30,9 @@
 ALARM_S, ALARM_KEPT_S = 1.0, 60.0  # operators should look, and for so long it is shown
 
 
+C = TypeVar("C", bound="Came")
+
+
 class Cause(Enum):
     STOPPED = "stopped"  # by a signal, or with its machine
     STARVED = "starved"  # others had the processor
@@ -105,6 +110,18 @@
     return (max(since_s, latest_s - COARSE_S - slept_s) if ends_there else since_s), latest_s
 
 
+class Came(Protocol):
+    """What came while the process stood."""
+
+    class_name: str
+    arrived_ms: float
+
+
+def by_worth(came: Iterable[C], worths: Mapping[str, float]) -> list[C]:
+    """In which order what waited goes on: the most valuable first, and of equals the one that came first."""
+    return sorted(came, key=lambda one: (-worths.get(one.class_name, 0.0), one.arrived_ms))
+
+
 def counted_from(effect: Idempotency | None, came: tuple[float, float]) -> float:
     """From when on a request's time counts. One that has an effect goes on only if it surely has time: its
     client may have come again, as another request. One that only reads may be of use yet."""
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -46,7 +46,7 @@
     Why,
 )
 from cloverrouter.membership.releases import opened_ahead
-from cloverrouter.membership.standing import Gap
+from cloverrouter.membership.standing import Gap, by_worth
 from cloverrouter.proxy.admission import Admission
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
@@ -198,6 +198,7 @@
         self._addresses: dict[str, Address] = {}
         self._requests: dict[int, Request] = {}
         self._by_call: dict[Call, Request] = {}
+        self._woken: dict[Call, None] = {}  # that came while this process stood, to be handed over
         self._passing: dict[Call, Try] = {}  # long answers that are being passed on
         self._ids: set[bytes] = set()  # the clients' own, of the same requests
         self._last_id = 0
@@ -299,12 +300,12 @@
 
     @property
     def busy(self) -> bool:
-        return bool(self._by_call) or bool(self._passing)
+        return bool(self._by_call) or bool(self._passing) or bool(self._woken)
 
     @property
     def in_flight(self) -> int:
         """Requests that an answer, or the rest of one, is owed to."""
-        return len(self._by_call) + len(self._passing)
+        return len(self._by_call) + len(self._passing) + len(self._woken)
 
     def written_out(self) -> Counter[str]:
         """Attempts that are out with their last byte written, by class."""
@@ -320,6 +321,25 @@
         return request_id in self._ids
 
     def arrived(self, call: Call) -> None:
+        deadline_ms = self._deadline_ms(call) if call.late and call.upload is None else None
+        if deadline_ms is None or deadline_ms <= self.now_ms() + 2000 * READS_S:  # it can't wait any more
+            self._take(call)
+            return
+        # Danger: all that came in a gap is read at one moment, and the first to be read would have what room
+        # there is. It has a few steps of the loop to be read in, and goes on by worth.
+        if not self._woken:
+            self._loop.call_later(READS_S, self._hand_over)
+        self._woken[call] = None
+        self._ids.add(call.request_id)
+
+    def _hand_over(self) -> None:
+        woken, self._woken = self._woken, {}
+        worths = {cls.name: cls.worth for cls in self._settings.classes}
+        for call in by_worth(woken, worths):
+            self._ids.discard(call.request_id)
+            self._take(call)
+
+    def _take(self, call: Call) -> None:
         if self.admission is not None and (why := self.admission.refusal()):
             # Asked here and now, by the clock: no timer that may be late stands between this and the taking.
             call.refused(self.admission.retry_after_ms())
@@ -380,6 +400,9 @@
 
     def gone(self, call: Call) -> None:
         """The client has left: nobody wants what its attempts would bring."""
+        if call in self._woken:
+            del self._woken[call]
+            self._ids.discard(call.request_id)
         passing = self._passing.pop(call, None)
         request = self._by_call.get(call) if passing is None else passing.request
         if request is None:
--- a/cloverrouter/proxy/wake.py
+++ b/cloverrouter/proxy/wake.py
@@ -119,6 +119,9 @@
         log.warning("%s", text)
         self.on_told(text)
 
+    def alarm(self) -> str | None:
+        return self.standing.alarm(now_s())
+
     def told(self) -> dict[str, object]:
         """For operators."""
         found: dict[str, object] = {"times": self.standing.count, "s": round(self.standing.stood_s, 2)}
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Sequence
@@ -12,6 +14,7 @@
 
 from cloverrouter.lab.peers import Discovery, Host, Proxy, Seen, answer_ok, never, ok, running
 from cloverrouter.lab.stops import watch
+from tests.standins.appliance import boxed
 
 SLACK_S = 0.25  # that a busy machine may add
 Stops = Sequence[tuple[float, float]]
@@ -52,8 +55,14 @@
         assert not figures["refused"] and not figures["failed"], figures
 
 
-def test_sigterm_at_the_wake_resets_nobody() -> None:
-    seen = asyncio.run(watch([(0.5, 1.5)], 60, then=signal.SIGTERM, slack_s=SLACK_S))
+@pytest.mark.parametrize("when", ["first", "then"])
+def test_stop_round_sigterm_resets_nobody(when: str) -> None:
+    """Stopped in the half second in which it still takes connections, or told to end while it stands."""
+    stops = [(0.1, 1.5)] if when == "first" else [(0.5, 1.5)]
+    told = {"first": None, "then": None, when: signal.SIGTERM}
+    seen = asyncio.run(
+        watch(stops, 60, slack_s=SLACK_S, again=False, first=told["first"], then=told["then"])
+    )
     figures = seen.figures()
     assert figures["served"] and figures["refused"] and not figures["resets"], figures
     assert not figures["run late"] and not figures["twice"], figures
@@ -198,3 +207,126 @@
             assert "ended all its connections" not in proxy.log()
 
     asyncio.run(scene())
+
+
+def test_operators_are_told() -> None:
+    async def scene() -> None:
+        hosts = [await Host("h0").start()]
+        async with boxed(hosts, state=False) as (box, proxy, _):
+            line = await box.line()
+            assert (await line.result("status"))["standing"]["times"] == 0
+            await stand(proxy, 1.3)
+            told = await line.result("status")
+            assert told["standing"]["last"]["s"] >= 1.2 and told["standing"]["last"]["cause"] == "stopped"
+            assert [text for text in told["alarms"] if text.startswith("stood still 1.")]
+            events = (await line.result("events"))["events"]
+            assert [event for event in events if event["kind"] == "standing"]
+
+    asyncio.run(scene())
+
+
+def test_two_processes_of_an_upgrade_stopped_in_turn() -> None:
+    """Both take connections from one socket: what waits for the one that stands, the other serves."""
+
+    async def scene() -> None:
+        hosts, discovery = [await Host("h0").start()], await Discovery().start()
+        listener = socket.create_server((f"127.{os.getpid() % 250 + 2}.7.9", 0), backlog=1024)
+        host, port = listener.getsockname()
+        environ = {"PROXY_INHERITED_FD": str(listener.fileno())}
+        more = {"listen": f"{host}:{port}"}
+        async with running(discovery, hosts, environ=environ, more=more, inherit=(listener.fileno(),)) as old:
+            new = old.successor(environ)
+            new.start()
+            try:
+                await new.logged("serves at")
+                for standing in (old, new):
+                    standing.signal(signal.SIGSTOP)
+                    answers = []
+                    for _ in range(20):
+                        client = await old.client()
+                        answers.append((await client.ask("/unsafe", timeout_ms=2000)).status)
+                        client.writer.close()
+                    standing.signal(signal.SIGCONT)
+                    assert answers == [200] * 20
+                old.signal(signal.SIGSTOP)
+                old.signal(signal.SIGTERM)
+                await asyncio.sleep(1.0)
+                old.signal(signal.SIGCONT)
+                assert await old.ended() == 0
+                assert (await (await new.client()).ask("/unsafe")).status == 200
+            finally:
+                new.close()
+                listener.close()
+
+    asyncio.run(scene())
+
+
+async def failing_once(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    """Turns the first request away; it is due again some 100 ms later."""
+    if len(FAILED) < 1:
+        FAILED.append(seen.message.headers["x-request-id"])
+        writer.write(b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+    else:
+        writer.write(ok())
+
+
+FAILED: list[str] = []
+
+
+def test_retry_that_fell_due_meanwhile_goes_out_in_the_time_that_is_left() -> None:
+    async def scene() -> None:
+        FAILED.clear()
+        hosts, discovery = [await Host("h0", failing_once).start()], await Discovery().start()
+        async with running(discovery, hosts) as proxy:
+            client, other = await proxy.client(), await proxy.client()
+            client.send("/keyed", timeout_ms=2900)
+            await hosts[0].wait(lambda: bool(FAILED))
+            await stand(proxy, 0.8)
+            assert (await client.read()).status == 200 and len(hosts[0].seen) == 2
+            FAILED.clear()
+            other.send("/keyed", timeout_ms=700)  # and where none is left it does not
+            await hosts[0].wait(lambda: bool(FAILED))
+            await stand(proxy, 1.5)
+            assert (await other.read()).status == 503 and len(hosts[0].seen) == 3
+
+    asyncio.run(scene())
+
+
+SHORT = """
+import sys
+from cloverrouter.proxy import frontend, upstream
+frontend.STALL_S = upstream.STALL_S = frontend.UNREAD_S = 1.0
+from cloverrouter.proxy.service import main
+sys.exit(main())
+"""
+
+
+def test_answer_that_is_passed_on_is_not_cut_for_a_pause_that_was_ours() -> None:
+    """One's server holds back the rest, the other's client does not read; 1 s is allowed for that."""
+
+    async def scene() -> None:
+        go_on = asyncio.Event()
+        half = bytes(300_000)
+
+        async def halves(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n" + half)
+            await go_on.wait()
+            writer.write(half)
+
+        async def large(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(ok(bytes(8_000_000)))
+
+        for respond, size in ((halves, 600_000), (large, 8_000_000)):
+            hosts, discovery = [await Host("h0", respond).start()], await Discovery().start()
+            async with running(discovery, hosts, command=[sys.executable, "-c", SHORT]) as proxy:
+                client = await proxy.client()
+                client.send("/keyed")
+                await hosts[0].wait(lambda hosts=hosts: bool(hosts[0].seen))  # type: ignore[misc]
+                await asyncio.sleep(0.3)
+                await stand(proxy, 2.0)
+                await asyncio.sleep(0.4)  # its timers have had their turn
+                go_on.set()
+                answer = await client.read()
+                assert answer.status == 200 and len(answer.body) == size
+
+    asyncio.run(scene())
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -22,7 +22,9 @@
     Outcome,
     Refuse,
     RequestArrived,
+    RequestClass,
     Send,
+    Settings,
     Sign,
     Stood,
 )
@@ -310,3 +312,31 @@
             assert client.recv(1024).startswith(b"HTTP/1.1 200")
 
     play(scene)
+
+
+def test_what_waited_goes_on_by_worth_and_what_is_over_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(loop: Loop) -> None:
+        node = node_with(("127.0.0.1", 9))
+        classes = (RequestClass("cheap", 1500, 3000, worth=1), RequestClass("dear", 1500, 3000, worth=10))
+        node.resettle(Settings(classes))
+        events = told(node, monkeypatch)
+        calls = []
+        for number, (name, age_ms) in enumerate(
+            [("cheap", 300), ("dear", 100), ("cheap", 200), ("dear", 150), ("dear", 5000)]
+        ):
+            call = call_of(loop, 1000)
+            call.request_id, call.class_name, call.late = b"%d" % number, name, True
+            call.arrived_ms -= age_ms
+            calls.append(call)
+            node.arrived(call)
+            assert node.is_open(call.request_id) or call is calls[4]
+        assert calls[4].given == ["refused"] and node.busy
+        node.gone(calls[2])
+        await until(lambda: len([e for e in events if isinstance(e, RequestArrived)]) == 4)
+        arrived = [(e.class_name, round(e.waited_ms, -1)) for e in events if isinstance(e, RequestArrived)]
+        assert [name for name, _ in arrived] == ["dear", "dear", "dear", "cheap"]
+        assert arrived[1][1] > arrived[2][1] and arrived[3][1] >= 300  # of equals, the one that came first
+
+    play(scene)
