Console: status says how often and for how long the process stood still

Need: ctl's text showed an alarm for a minute and nothing after it.

Change: a line of status where it ever stood still. Measured: tests/test_stalls.py looks at the text.

--- a/cloverrouter/console/text.py
+++ b/cloverrouter/console/text.py
@@ -196,12 +196,24 @@
     return lines
 
 
+def standing_lines(told: Json) -> list[str]:
+    """How often and for how long the process stood still; nothing if it never did."""
+    if not told.get("times"):
+        return []
+    longest = told["longest"]
+    how = f"{longest['s']:.1f} s, {span(longest['ago_s'])} ago ({plain(longest['cause'])})"
+    return [f"stood still {told['times']} times, {told['s']:.1f} s in all; the longest {how}"]
+
+
 def answer_lines(do: str, result: Json, now_ms: float) -> list[str]:
     """Any command's result as text."""
     match do:
         case "status":
-            return [f"{plain(result['name'])}: up {span(result['uptime_s'])}", summary(result)] + [
-                f"ALARM: {plain(text)}" for text in result["alarms"]
+            return [
+                f"{plain(result['name'])}: up {span(result['uptime_s'])}",
+                summary(result),
+                *standing_lines(result.get("standing", {})),
+                *(f"ALARM: {plain(text)}" for text in result["alarms"]),
             ]
         case "servers":
             return [SERVERS_HEAD, *(server_line(server, now_ms) for server in result["servers"])]
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -227,6 +227,8 @@
             told = await line.result("status")
             assert told["standing"]["last"]["s"] >= 1.2 and told["standing"]["last"]["cause"] == "stopped"
             assert [text for text in told["alarms"] if text.startswith("stood still 1.")]
+            code, text, _ = await box.ctl("status")
+            assert code == 0 and "stood still 1 times, 1." in text and "(stopped)" in text
             events = (await line.result("events"))["events"]
             assert [event for event in events if event["kind"] == "standing"]
 
