--- a/cloverrouter/seams.py
+++ b/cloverrouter/seams.py
@@ -1,16 +1,26 @@
-"""Seams that the core owns and directions fill: commands that operators give, and what they may answer.
+"""Seams that the core owns and directions fill: commands that operators give, and what a direction is to the
+composition root.
 
 A direction registers its commands; the control socket carries them. Neither imports the other.
 """
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+import logging
+import time
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from cloverrouter.proxy.config import Config
+    from cloverrouter.proxy.frontend import Frontend
+    from cloverrouter.proxy.node import Node
+    from cloverrouter.roster import Keeper
 
 Value = str | int | float | bool | None
 Json = dict[str, Any]
+log = logging.getLogger(__name__)
 
 
 class CommandError(Exception):
@@ -120,3 +130,101 @@
             )
         arguments[a.name] = value
     return arguments
+
+
+class Alarms:
+    """What is wrong until it is mended, by a name for each."""
+
+    def __init__(self) -> None:
+        self._texts: dict[str, str] = {}
+
+    def set(self, name: str, text: str | None) -> None:
+        if text is None:
+            self._texts.pop(name, None)
+        else:
+            self._texts[name] = text
+
+    def texts(self) -> list[str]:
+        return list(self._texts.values())
+
+
+class Core:
+    """What all directions of one proxy share: its parts, the events and alarms for operators, each other."""
+
+    def __init__(self, told: Config, node: Node, boot: str) -> None:
+        self.told, self.node, self.boot = told, node, boot
+        self.alarms = Alarms()
+        self.hear: list[Callable[[str, Json], None]] = []  # who wants to know of events
+        self.directions: list[Direction] = []  # those that are on, in the order of their start
+        self.keeper: Keeper  # the roster, as operators have it
+
+    def now_ms(self) -> float:
+        """Unix time."""
+        return time.time() * 1000
+
+    def event(self, kind: str, what: Json) -> None:
+        for hear in self.hear:
+            hear(kind, what)
+
+    def take(self, frontend: Frontend, taking: bool) -> None:
+        """From here on this proxy takes work, or leaves it to another: then its clients are to move."""
+        frontend.gate.refusing = not taking
+        if not taking:
+            frontend.close_idle()
+            for direction in self.directions:
+                direction.leave(final=True)
+
+    def reread(self, name: str, what: str, step: Callable[[], None]) -> None:
+        """Take a file that the operators may have replaced; a bad one changes nothing."""
+        try:
+            step()
+        except (OSError, ValueError) as error:
+            log.error("%s: %s not reread: %s", name, what, error)
+            self.alarms.set(name, f"[{name}]: {what} not reread: {error}")
+        else:
+            self.alarms.set(name, None)
+            self.event(name, {"text": f"{what} reread"})
+
+
+class Direction:
+    """One of the operators' directions, as the composition root sees it. What one does not fill does nothing.
+
+    It is made, before the proxy listens, only if its table of the operators' file turns it on; whatever can't
+    be carried out is a `StartError` that names the table.
+    """
+
+    def __init__(self, core: Core, table: Any) -> None:
+        self.core, self.table = core, table
+
+    @staticmethod
+    def descriptors(table: Any) -> int:
+        """How many it may hold, which requests then can't."""
+        return 0
+
+    async def start(self, frontend: Frontend) -> None:
+        """Open what it listens on."""
+
+    def started(self, frontend: Frontend) -> None:
+        """All directions have."""
+
+    def commands(self) -> Iterable[Command]:
+        """For the control socket."""
+        return ()
+
+    def tell(self, status: Json) -> None:
+        """Add what operators want to see to `status`: `pair`, `clients`, `protocols`."""
+
+    def tell_server(self, server: str, told: Json) -> None:
+        """The same of one server: `protocol`."""
+
+    def tick(self) -> None:
+        """Once a second."""
+
+    def reload(self) -> None:
+        """SIGHUP."""
+
+    def leave(self, final: bool) -> None:
+        """The proxy is about to end, or (`final`) nothing is taken from here on."""
+
+    async def close(self) -> None:
+        """Nothing is owed any more."""
--- a/tests/standins/appliance.py
+++ b/tests/standins/appliance.py
@@ -94,7 +94,11 @@
 
 @asynccontextmanager
 async def boxed(
-    hosts: list[Host], state: bool = True, control: str = "", discovery: Discovery | None = None
+    hosts: list[Host],
+    state: bool = True,
+    control: str = "",
+    discovery: Discovery | None = None,
+    importtime: bool = False,
 ) -> AsyncIterator[tuple[Box, Proxy, Discovery]]:
     """A proxy with control and, if wanted, state, before these hosts."""
     if discovery is None:
@@ -102,5 +106,6 @@
         discovery.holds = True
     with tempfile.TemporaryDirectory() as folder:
         box = Box(Path(folder), state, control)
-        async with running(discovery, hosts, environ=box.environ) as proxy:
+        command = [sys.executable, "-X", "importtime", "-m", "cloverrouter.proxy"] if importtime else None
+        async with running(discovery, hosts, environ=box.environ, command=command) as proxy:
             yield box, proxy, discovery
