The lab has the simulated pair and ships a fleet that is stopped

Need: tests and benchmarks are to take worlds in simulated time from the lab; the pair's stood in tests, and a benchmark imported it from there. Test and benchmark of the stopped fleet each had its classes.

Change: `tests/vrrp/simulation.py` is `cloverrouter/lab/pairs.py`, unchanged; `library/stopped-fleet.toml` is what both build on.

--- a/benchmarks/stalls.py
+++ b/benchmarks/stalls.py
@@ -23,7 +23,7 @@
 from statistics import mean, stdev
 from typing import Any
 
-from cloverrouter.lab.scenario import build
+from cloverrouter.lab.scenario import build, load, plain
 from cloverrouter.lab.simulation import simulate
 from cloverrouter.lab.stops import watch
 
@@ -56,13 +56,7 @@
         print(f"| {name} | {rate:g} | " + " | ".join(str(totals[key]) for key in SHOWN) + " |", flush=True)
 
 
-CLASSES = [
-    {"name": "read", "share": 0.5, "aim_ms": 400, "deadline_ms": 900, "worth": 1, "work_ms": 20},
-    {"name": "extract", "share": 0.25, "effect": "keyed", "window_ms": 1200, "aim_ms": 500,
-     "deadline_ms": 1000, "worth": 3, "work_ms": 30},
-    {"name": "entry", "share": 0.25, "effect": "unsafe", "aim_ms": 500, "deadline_ms": 1000, "worth": 10,
-     "work_ms": 30},
-]  # fmt: skip
+SHIPPED = plain(load("stopped-fleet"))
 AT_S, LOOKED_S = 5, 5
 RELEASE = {"kind": "release", "at_s": 3, "within_s": 2, "gap_s": 0.5, "part": 0.5}
 FLEET: tuple[tuple[str, list[dict[str, Any]]], ...] = (
@@ -84,12 +78,7 @@
         for seed in range(runs):
             for kept, into in ((faults, stopped), (faults[1:], never)):
                 told = [{"at_s": AT_S, **fault} for fault in kept]
-                result = simulate(
-                    build({"name": "stalls", "seconds": 24, "class": CLASSES, "fault": told,
-                           "proxies": {"count": 12}, "office": [{"rate": 290, "retries": 1}],
-                           "servers": [{"count": 10}]}),
-                    seed,
-                )  # fmt: skip
+                result = simulate(build({**SHIPPED, "fault": told}), seed)
                 broken += bool(result.broken)
                 from_s = AT_S + ceil(faults[0]["for_s"])
                 good = sum(result.series.good[from_s : from_s + LOOKED_S])
--- a/benchmarks/vrrp.py
+++ b/benchmarks/vrrp.py
@@ -18,8 +18,8 @@
 from multiprocessing import get_context
 from pathlib import Path
 
+from cloverrouter.lab.pairs import run_range
 from cloverrouter.vrrp.shell import now_ms
-from tests.vrrp.simulation import run_range
 from tests.vrrp.test_loopback import INTERVAL_CS, PROMISE_MS, TAKES, a_takes, b_takes, load, pair, served_on
 
 SKEW_MS = (256 - 100) * INTERVAL_CS * 10 / 256
--- a/tests/lab/test_stops.py
+++ b/tests/lab/test_stops.py
@@ -8,30 +8,17 @@
 import pytest
 
 from cloverrouter.lab.account import Result
-from cloverrouter.lab.scenario import Scenario, build
+from cloverrouter.lab.scenario import Scenario, build, load, plain
 from cloverrouter.lab.simproxy import SimCall
 from cloverrouter.lab.simulation import simulate
 from cloverrouter.strict import FileError
 
-CLASSES = [
-    {"name": "read", "share": 0.5, "aim_ms": 400, "deadline_ms": 900, "worth": 1, "work_ms": 20},
-    {"name": "extract", "share": 0.25, "effect": "keyed", "window_ms": 1200, "aim_ms": 500,
-     "deadline_ms": 1000, "worth": 3, "work_ms": 30},
-    {"name": "entry", "share": 0.25, "effect": "unsafe", "aim_ms": 500, "deadline_ms": 1000, "worth": 10,
-     "work_ms": 30},
-]  # fmt: skip
-
-
-def world(
-    faults: list[dict[str, Any]], proxies: int = 6, rate: float = 150.0, seconds: float = 16
-) -> Scenario:
-    return build(
-        {
-            "name": "stops", "seconds": seconds, "class": CLASSES, "fault": faults,
-            "proxies": {"count": proxies}, "office": [{"rate": rate, "retries": 1}],
-            "servers": [{"count": 8, "cores": 1}],
-        }
-    )  # fmt: skip
+SHIPPED = plain(load("stopped-fleet"))
+
+
+def world(faults: list[dict[str, Any]], proxies: int = 6, rate: float = 150.0) -> Scenario:
+    few = {"proxies": {"count": proxies}, "office": [{"rate": rate, "retries": 1}], "seconds": 16}
+    return build({**SHIPPED, **few, "servers": [{"count": 8, "cores": 1}], "fault": faults})
 
 
 def well(result: Result) -> Result:
