Tests: a long answer at the wake, and what discovery's lateness is learned from

Need: two guards of the stalls could be taken out unseen.

Change: an answer that takes two reads as its time-out is due, and a call of discovery across a stop. Measured: each fails without its guard.

--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -400,3 +400,32 @@
         assert loop.time() - begun_s < 2.0
 
     play(scene)
+
+
+def test_answer_that_takes_more_than_one_read_is_read_before_its_time_out_is_judged() -> None:
+    async def scene(loop: Loop) -> None:
+        body = b"x" * 65_500  # with its head more than one read brings
+        node = node_with(Answerer(0.1, ok(body)).address)
+        call = call_of(loop, 300)
+        node.arrived(call)
+        await asyncio.sleep(0.02)
+        time.sleep(0.7)
+        await until(lambda: call.given)
+        assert call.given == [body]
+
+    play(scene)
+
+
+def test_discovery_is_not_thought_slow_for_a_stop() -> None:
+    async def scene(loop: Loop) -> None:
+        answer = ok(b'{"version": 3, "full": true, "servers": []}')
+        lists: list[HostList] = []
+        watch = Watch(Answerer(0.2, answer).address, UnixClock(), False, lists.append, lambda: None)
+        watch.start()
+        await asyncio.sleep(0.1)
+        time.sleep(1.5)
+        await until(lambda: lists)
+        watch.stop()
+        assert watch.asking._late_s <= 0.8
+
+    play(scene)
