--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -142,7 +142,7 @@
         except TimeoutError:
             # Danger: what discovery has written counts as told. An answer that is read in the same step in
             # which its time is over would be lost, and with it a drain, until the next call. Of a slow
-            # service one of seven that are given up on comes within this time.
+            # service, one of eight that would have been given up on came within this time.
             await asyncio.wait([call], timeout=ARRIVES_S)
             for _ in range(STEPS):
                 await asyncio.sleep(0)
