--- a/cloverrouter/lab/pairs.py
+++ b/cloverrouter/lab/pairs.py
@@ -15,7 +15,8 @@
 
 from cloverrouter.lab.engine import Engine
 from cloverrouter.lab.relay import Way
-from cloverrouter.vrrp.lease import Lease, Release, Request, Terms, Voter
+from cloverrouter.rights import Terms
+from cloverrouter.vrrp.lease import Lease, Release, Request, Voter
 from cloverrouter.vrrp.machine import Advertise, Heard
 from cloverrouter.vrrp.pair import Out, Pair, Shape, Tell
 
--- a/cloverrouter/vrrp/compose.py
+++ b/cloverrouter/vrrp/compose.py
@@ -7,8 +7,8 @@
 from ipaddress import ip_address
 
 from cloverrouter.proxy.config import read_address
+from cloverrouter.rights import Terms
 from cloverrouter.site.settings import Vrrp, secret_of
-from cloverrouter.vrrp.lease import Terms
 from cloverrouter.vrrp.pair import Shape
 from cloverrouter.vrrp.shell import Box
 
--- a/cloverrouter/vrrp/pair.py
+++ b/cloverrouter/vrrp/pair.py
@@ -9,7 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from cloverrouter.vrrp.lease import Answer, Deny, Lease, Release, Request, Terms, Voter
+from cloverrouter.rights import Terms
+from cloverrouter.vrrp.lease import Answer, Deny, Lease, Release, Request, Voter
 from cloverrouter.vrrp.machine import Action as MachineAction
 from cloverrouter.vrrp.machine import Address, Advertise, Became, Heard, Machine, State
 
--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -14,8 +14,9 @@
 from typing import cast
 
 from cloverrouter.clock import now_s
+from cloverrouter.rights import Terms
 from cloverrouter.vrrp import packet
-from cloverrouter.vrrp.lease import Release, Request, Terms, Voter
+from cloverrouter.vrrp.lease import Release, Request, Voter
 from cloverrouter.vrrp.machine import Advertise, Became, Heard
 from cloverrouter.vrrp.pair import Out, Pair, Shape
 from cloverrouter.vrrp.tracking import Fault, Tracking
--- a/cloverrouter/vrrp/wire.py
+++ b/cloverrouter/vrrp/wire.py
@@ -18,7 +18,8 @@
 from enum import Enum, IntEnum
 from hashlib import sha256
 
-from cloverrouter.vrrp.lease import Answer, Deny, Grant, Release, Request, Stale, Stamp
+from cloverrouter.rights import Stamp
+from cloverrouter.vrrp.lease import Answer, Deny, Grant, Release, Request, Stale
 
 MAGIC = b"CRV1"
 CODE_BYTES = 16
--- a/cloverrouter/vrrp/witness.py
+++ b/cloverrouter/vrrp/witness.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from cloverrouter.proxy.config import read_address
-from cloverrouter.vrrp.lease import Terms
+from cloverrouter.rights import Terms
 from cloverrouter.vrrp.shell import SocketAddress, Witness
 
 log = logging.getLogger(__name__)
--- a/tests/vrrp/test_lease.py
+++ b/tests/vrrp/test_lease.py
@@ -8,7 +8,8 @@
 import pytest
 
 from cloverrouter.lab.pairs import CALM_MS, LENGTH_MS, TERMS, BoxNode, Parts, TwoTake, World, run_range
-from cloverrouter.vrrp.lease import Answer, Deny, Grant, Lease, Release, Request, Stale, Stamp, Terms, Voter
+from cloverrouter.rights import Stamp, Terms
+from cloverrouter.vrrp.lease import Answer, Deny, Grant, Lease, Release, Request, Stale, Voter
 
 T = Terms(promise_ms=1000.0, drift=0.01)
 THREE = {"a": 1, "b": 1, "w": 1}
--- a/tests/vrrp/test_loopback.py
+++ b/tests/vrrp/test_loopback.py
@@ -20,7 +20,7 @@
 
 from cloverrouter.lab.peers import LONG_S, Account, Discovery, Host, Proxy, never, ok, running, working_host
 from cloverrouter.lab.relay import Relay
-from cloverrouter.vrrp.lease import Terms
+from cloverrouter.rights import Terms
 from cloverrouter.vrrp.packet import Advertisement, encode
 from cloverrouter.vrrp.shell import Witness
 from cloverrouter.vrrp.wire import Courier, Kind
--- a/tests/vrrp/test_wire.py
+++ b/tests/vrrp/test_wire.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cloverrouter.vrrp.lease import Deny, Grant, Release, Request, Stale, Stamp
+from cloverrouter.rights import Stamp
+from cloverrouter.vrrp.lease import Deny, Grant, Release, Request, Stale
 from cloverrouter.vrrp.wire import (
     BadDatagram,
     Courier,
