One way of datagrams: the pair's courier and socket move to the core

Need: leases and peers need the pair's datagrams (names, lives, numbers, echoes, a secret's code); directions do not import each other.

cloverrouter/datagrams.py (form, encode, decode, Reader, Courier) and cloverrouter/post.py (the socket) hold what was vrrp/wire.py's and vrrp/shell.py's; a group gives its magic, its length and its kinds. The pair's bytes are unchanged, its tests too but for their imports.

--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -11,27 +11,18 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from ipaddress import ip_address
-from typing import cast
 
 from cloverrouter.clock import now_s
+from cloverrouter.datagrams import BadDatagram, Datagram, Reason
+from cloverrouter.post import Post, SocketAddress
 from cloverrouter.rights import Terms
 from cloverrouter.vrrp import packet
 from cloverrouter.vrrp.lease import Release, Request, Voter
 from cloverrouter.vrrp.machine import Advertise, Became, Heard
 from cloverrouter.vrrp.pair import Out, Pair, Shape
 from cloverrouter.vrrp.tracking import Fault, Tracking
-from cloverrouter.vrrp.wire import (
-    BadDatagram,
-    Courier,
-    Datagram,
-    Kind,
-    Reason,
-    decode_lease,
-    encode_lease,
-)
-
-SocketAddress = tuple[str, int]
-HELLO_EVERY_MS = 100.0  # at most, to each: a flood of strange echoes is not answered one by one
+from cloverrouter.vrrp.wire import Courier, Kind, decode_lease, encode_lease
+
 RETRY_AFTER_MS = 1000.0
 STRANGE_MS = 60_000.0  # without another, then the alarm ends
 STRANGERS = {
@@ -45,63 +36,6 @@
     return now_s() * 1000
 
 
-class Post(asyncio.DatagramProtocol):
-    """The socket of one member: wraps, unwraps, says hello to whoever does not know this life."""
-
-    def __init__(
-        self,
-        courier: Courier,
-        addresses: Mapping[str, SocketAddress],
-        on_datagram: Callable[[Datagram], None],
-    ) -> None:
-        self.courier = courier
-        self._addresses = dict(addresses)
-        self._on_datagram = on_datagram
-        self._transport: asyncio.DatagramTransport | None = None
-        self._greeted_ms: dict[str, float] = {}
-
-    async def open(self, listen: SocketAddress) -> None:
-        """Raises OSError."""
-        await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=listen)
-
-    def close(self) -> None:
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def error_received(self, exc: Exception) -> None:
-        """A peer that is not there answers by ICMP: it is as silent as one that is cut off."""
-
-    def send(self, target: str, kind: Kind, payload: bytes = b"") -> None:
-        if self._transport is not None:
-            self._transport.sendto(self.courier.wrap(target, kind, payload), self._addresses[target])
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        sender = next((name for name, known in self._addresses.items() if known == addr[:2]), None)
-        if sender is None:
-            self.courier.refused[Reason.SENDER] += 1  # a third box, or a stranger
-            return
-        try:
-            told = self.courier.unwrap(data)
-        except BadDatagram as wrong:
-            if wrong.reason is Reason.ECHO:
-                self._greet(sender)
-            return
-        if told.sender != sender:
-            self.courier.refused[Reason.SENDER] += 1
-        elif told.kind is not Kind.HELLO:
-            self._on_datagram(told)
-
-    def _greet(self, target: str) -> None:
-        at_ms = now_ms()
-        if at_ms - self._greeted_ms.get(target, float("-inf")) >= HELLO_EVERY_MS:
-            self._greeted_ms[target] = at_ms
-            self.send(target, Kind.HELLO)
-
-
 class Witness:
     """The third voter: promises its vote, and nothing else."""
 
--- a/cloverrouter/vrrp/witness.py
+++ b/cloverrouter/vrrp/witness.py
@@ -15,9 +15,10 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from cloverrouter.post import SocketAddress
 from cloverrouter.proxy.config import read_address
 from cloverrouter.rights import Terms
-from cloverrouter.vrrp.shell import SocketAddress, Witness
+from cloverrouter.vrrp.shell import Witness
 
 log = logging.getLogger(__name__)
 
--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -1,4 +1,4 @@
-"""The listener and its connections in a process that stands still: who waits, who makes room, what is dated."""
+"""The listener and its connections in a process that stands still: who waits, makes room, and is dated."""
 
 from __future__ import annotations
 
--- a/tests/vrrp/test_wire.py
+++ b/tests/vrrp/test_wire.py
@@ -3,25 +3,19 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from cloverrouter import datagrams
+from cloverrouter.datagrams import BadDatagram, Datagram, Reason
 from cloverrouter.rights import Stamp
 from cloverrouter.vrrp.lease import Deny, Grant, Release, Request, Stale
-from cloverrouter.vrrp.wire import (
-    BadDatagram,
-    Courier,
-    Datagram,
-    Kind,
-    Reason,
-    decode,
-    decode_lease,
-    encode,
-    encode_lease,
-)
+from cloverrouter.vrrp.wire import PAIR, Courier, Kind, decode_lease, encode_lease
 
+encode, decode = partial(datagrams.encode, PAIR), partial(datagrams.decode, PAIR)
 SECRET = b"a secret that both boxes have"
 STAMP = Stamp("a", 7, 9)
 TOLD = Datagram(Kind.ADVERTISEMENT, "a", 5, 1, 3, b"payload")
