--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -24,8 +24,9 @@
 TICK_S = 1.0
 # Tables of the operators' file, and where their directions are. They start in this order, so that the last
 # one can ask the others for what it tells; they close in it, too.
-DIRECTIONS = (
+DIRECTIONS: tuple[tuple[str, str, str], ...] = (
     ("vrrp", "cloverrouter.vrrp.direction", "Entry"),
+    ("leases", "cloverrouter.leases.direction", "Entry"),
     ("http3", "cloverrouter.http3.direction", "Clients"),
     ("http3_servers", "cloverrouter.http3.direction", "Servers"),
     ("control", "cloverrouter.control.direction", "Entry"),
--- a/cloverrouter/seams.py
+++ b/cloverrouter/seams.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
     from cloverrouter.proxy.config import Config
@@ -148,6 +148,47 @@
         return list(self._texts.values())
 
 
+@dataclass(frozen=True, slots=True)
+class Right:
+    """To act on a task, as one of those that may at a time: under this `token`, at this `seat` (from 0), up
+    to `until_s` of CLOCK_BOOTTIME. What is acted on keeps the highest token of each seat that it has seen,
+    and refuses lower ones: nothing else catches an act that its holder was stopped in."""
+
+    token: int
+    seat: int
+    until_s: float
+
+
+class Tasks(Protocol):
+    """Who may act on what only some may do at a time."""
+
+    def want(self, task: str, room: int = 1) -> None:
+        """Contend from here on. Raises ValueError for a name or a room that can't be."""
+
+    def may_act(self, task: str, longest_s: float = 0.0) -> Right | None:
+        """The right to an act that begins now and takes `longest_s` at most. To be asked each time, at the
+        moment of acting."""
+
+    def give_back(self, task: str, hand_over: bool = False) -> None:
+        """Stop, at once; `hand_over`: to who has waited longest."""
+
+
+class Alone:
+    """A proxy that shares nothing with others may do everything."""
+
+    def __init__(self) -> None:
+        self._token = time.time_ns() // 1_000_000
+
+    def want(self, task: str, room: int = 1) -> None:
+        pass
+
+    def may_act(self, task: str, longest_s: float = 0.0) -> Right | None:
+        return Right(self._token, 0, float("inf"))
+
+    def give_back(self, task: str, hand_over: bool = False) -> None:
+        pass
+
+
 class Core:
     """What all directions of one proxy share: its parts, the events and alarms for operators, each other."""
 
@@ -155,6 +196,7 @@
         self.told, self.node, self.boot = told, node, boot
         self.alarms = Alarms()
         self.hear: list[Callable[[str, Json], None]] = []  # who wants to know of events
+        self.tasks: Tasks = Alone()
         self.directions: list[Direction] = []  # those that are on, in the order of their start
         self.keeper: Keeper  # the roster, as operators have it
 
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import re
 import stat
 import tomllib
 from ipaddress import ip_address
@@ -106,12 +107,34 @@
     connections: Annotated[int, Meta(ge=1, le=1000, description="a whole number from 1 to 1000")] = 64
 
 
+class Leases(Struct, frozen=True):
+    """`[leases]`: tasks that only some proxies of a fleet may do at a time."""
+
+    enabled: Annotated[bool, Meta(description="true or false")] = False
+    name: Member = "p1"
+    listen: Annotated[str, Meta(description="an address such as 10.0.0.1:8113")] = "127.0.0.1:8113"
+    members: Annotated[
+        tuple[str, ...], Meta(max_length=500, description="a list of up to 500 members, as name=address:port")
+    ] = ()
+    voters: Annotated[tuple[Member, ...], Meta(max_length=9, description="a list of up to 9 names")] = ()
+    promise_ms: Annotated[int, Meta(ge=200, le=60_000, description="milliseconds from 200 to 60000")] = 3000
+    secret_file: Annotated[str, Meta(max_length=4096, description="a file's absolute path, or empty")] = ""
+    former_secret_file: Annotated[str, Meta(max_length=4096, description="the same")] = ""
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Of the other members, by name."""
+        told = dict(member.split("=", 1) for member in self.members)
+        return {name: address for name, address in told.items() if name != self.name}
+
+
 class Site(Struct, frozen=True):
     control: Control = Control()
     state: State = State()
     vrrp: Vrrp = Vrrp()
     http3: Http3 = Http3()
     http3_servers: Http3Servers = Http3Servers()
+    leases: Leases = Leases()
 
 
 class SiteError(FileError):
@@ -141,6 +164,7 @@
             faults.append(Fault(f"{name}.directory", f"is {folder!r}", right))
     faults += _vrrp_faults(site.vrrp)
     faults += _http3_faults(site.http3)
+    faults += _leases_faults(site.leases)
     own = site.http3_servers
     if own.enabled and not own.authority.startswith("/"):
         right = "must be an absolute path: whoever answers at a server's address would be believed"
@@ -183,6 +207,35 @@
     return faults
 
 
+def _leases_faults(leases: Leases) -> list[Fault]:
+    faults = []
+    if not _is_address(leases.listen, port=True):
+        right = "must be an address and a port, such as 10.0.0.1:8113; there are no look-ups"
+        faults.append(Fault("leases.listen", f"is {leases.listen!r}", right))
+    names = {leases.name}
+    for member in leases.members:
+        name, _, address = member.partition("=")
+        if not re.fullmatch("[A-Za-z0-9._-]{1,32}", name) or not _is_address(address, port=True):
+            right = "must be name=address:port, such as p2=10.0.0.2:8113"
+            faults.append(Fault("leases.members", f"has {member!r}", right))
+        elif name in names and name != leases.name:
+            right = "each member needs a name of its own"
+            faults.append(Fault("leases.members", f"has {name!r} twice", right))
+        names.add(name)
+    for voter in leases.voters:
+        if voter not in names:
+            right = "must be names of members, or this proxy's own; the same list at every proxy"
+            faults.append(Fault("leases.voters", f"has {voter!r}", right))
+    if leases.enabled and (len(leases.voters) % 2 == 0 or len(set(leases.voters)) < len(leases.voters)):
+        right = "must be an odd number of different names, best 3 or 5: an even one stands no more failures"
+        faults.append(Fault("leases.voters", f"names {len(leases.voters)}", right))
+    for key in ("secret_file", "former_secret_file"):
+        path = getattr(leases, key)
+        if path and not path.startswith("/"):
+            faults.append(Fault(f"leases.{key}", f"is {path!r}", "must be an absolute path"))
+    return faults
+
+
 def _http3_faults(http3: Http3) -> list[Fault]:
     faults = []
     if not _is_address(http3.listen, port=True):
@@ -195,13 +248,14 @@
     return faults
 
 
-def secret_of(vrrp: Vrrp) -> bytes | None:
-    """The pair's secret, the line feed at its end left out. Raises OSError, ValueError if it is too short."""
-    if not vrrp.secret_file:
+def secret_of(path: str) -> bytes | None:
+    """The secret in that file, if one is named, the line feed at its end left out. Raises OSError, ValueError
+    if it is too short."""
+    if not path:
         return None
-    secret = Path(vrrp.secret_file).read_bytes().strip()
+    secret = Path(path).read_bytes().strip()
     if len(secret) < 16:
-        raise ValueError(f"{vrrp.secret_file}: a secret has at least 16 bytes")
+        raise ValueError(f"{path}: a secret has at least 16 bytes")
     return secret
 
 
--- a/cloverrouter/vrrp/compose.py
+++ b/cloverrouter/vrrp/compose.py
@@ -38,4 +38,4 @@
     # A later figure with each start, as far as the clock goes; voters mend it where it does not.
     life = time.time_ns() // 1_000_000
     virtual = tuple(ip_address(address) for address in vrrp.addresses)
-    return Box(shape, life, addresses, vrrp.vrid, virtual, secret_of(vrrp), changed, event, alarm)
+    return Box(shape, life, addresses, vrrp.vrid, virtual, secret_of(vrrp.secret_file), changed, event, alarm)
