Leases: votes that stay parted and holders that hear nothing, found by processes, end

Ruled out: lost answers, the sockets, the relay.

Causes: claim.tick asked on when a round was neither won nor lost; an ask without answers came more often than a promise ends; votes given back began the waiting for turns anew (voter._released).

--- a/cloverrouter/lab/claims.py
+++ b/cloverrouter/lab/claims.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -166,6 +167,9 @@
             contender = Contender(self, name, self.room)
             self.nodes[name] = contender
             self.contenders.append(contender)
+        if random.random() < 0.3:  # fewer than half are gone, for good
+            for name in voters[len(voters) // 2 + 1 :]:
+                self.at(random.uniform(0, LENGTH_MS), None, partial(self._gone, self.nodes[name]))
         for _ in range(random.randrange(9) if faults is None else faults):
             self.at(random.uniform(0, LENGTH_MS), None, self._fault)
 
@@ -177,6 +181,8 @@
         """At that time, or when the node runs again."""
 
         def due() -> None:
+            if node is not None and node.paused_until_ms == float("inf"):
+                return
             if node is not None and self.now_ms < node.paused_until_ms:
                 # Danger to the rules: after a pause timers and messages come in any order.
                 self.at(node.paused_until_ms + self.random.random() * 0.01, node, call)
@@ -191,12 +197,16 @@
             for wait_ms in self.links[source, target].times(self.now_ms):
                 self.at(self.now_ms + wait_ms, node, lambda: node.receive(source, message))
 
+    def _gone(self, node: Node) -> None:
+        node.paused_until_ms = float("inf")
+
     def _fault(self) -> None:
         random, name = self.random, self.random.choice(list(self.nodes))
         node, span_ms = self.nodes[name], self.random.uniform(50, 1500)
         match random.randrange(7):
             case 0:
-                node.paused_until_ms = self.now_ms + random.choice((20, 200, 400, 1500)) * random.random()
+                span_ms = random.choice((20, 200, 400, 1500)) * random.random()
+                node.paused_until_ms = max(node.paused_until_ms, self.now_ms + span_ms)
             case 1:
                 node.restart()
             case 2:  # one way
@@ -244,6 +254,7 @@
             self.look()
         for link in self.links.values():
             link.cut_until = link.loss = link.double = 0.0
+        self.crash_at_store = 0.0
         before = self.acts
         while self.acts == before and self.engine.step(LENGTH_MS + SETTLES_MS):
             self.look()
--- a/cloverrouter/leases/claim.py
+++ b/cloverrouter/leases/claim.py
@@ -19,6 +19,7 @@
 RENEW_SHARE = 1 / 3  # of a promise: so often a holder asks for more time
 ROUND_SHARE = 1 / 10  # so long answers are waited for before it asks again
 WAIT_SHARE = 1 / 2  # so often who waits shows that it still does
+SILENT_SHARE = (1.2, 2.0)  # so seldom one asks that hears no answers: longer than a promise
 RETRY_MS = 5.0  # the span that waits are drawn from when votes were parted, for each that contends
 MOST_DOUBLINGS = 6
 
@@ -59,6 +60,7 @@
         self._answers: dict[str, Grant | Deny] = {}  # to its last round
         self._round = 0  # the number of that
         self._parted = 0  # rounds in a row that nobody may have won
+        self._unheard = 0  # rounds in a row that fewer than half answered
 
     # What others want of it
 
@@ -90,6 +92,10 @@
         if not self.wanted or now_ms < self.due_ms:
             return []
         self._lapse(now_ms)
+        if self._token is None and any(isinstance(answer, Deny) for answer in self._answers.values()):
+            # Danger: with voters that are gone a round may be neither won nor lost; asking on would renew the
+            # few promises that it got, as others do theirs, and nobody would ever have more than half.
+            return self._come_back(now_ms)
         return self._ask(now_ms)
 
     def heard(self, now_ms: float, answer: Answer) -> list[Say]:
@@ -164,11 +170,13 @@
         denials = [answer for answer in self._answers.values() if isinstance(answer, Deny)]
         left_ms = sorted(denial.left_ms for denial in denials)[len(denials) // 2]
         contenders = 1 + max(denial.ahead for denial in denials)
+        granted = tuple(voter for voter, answer in self._answers.items() if isinstance(answer, Grant))
         most_ms = WAIT_SHARE * self._terms.promise_ms
         span_ms = RETRY_MS * contenders * 2 ** min(MOST_DOUBLINGS, self._parted)
-        self._parted += 1
-        self.due_ms = now_ms + min(most_ms, left_ms + self._random.uniform(0.0, min(span_ms, most_ms)))
-        granted = tuple(voter for voter, answer in self._answers.items() if isinstance(answer, Grant))
+        # Votes that were parted are given back by all: nobody has to wait for them to end.
+        least_ms = 0.0 if granted else min(most_ms, left_ms)
+        self._parted = self._parted + 1 if granted else 0
+        self.due_ms = now_ms + least_ms + self._random.uniform(0.0, min(span_ms, most_ms))
         busy = 0
         for denial in denials:
             busy |= denial.busy
@@ -187,27 +195,35 @@
         if not self._asked or (denied and self._highest >= self._asked):
             self._asked = self._highest = self._highest + 1
             self._under.clear()
+        answered = dict.fromkeys(self._answers, 1.0)
+        self._unheard = self._unheard + 1 if self._round and self._until_by(answered) == NEVER else 0
         self._answers.clear()
         self._round = self.ask(now_ms)
         share = RENEW_SHARE if self._token is not None else ROUND_SHARE
+        if self._token is None and self._unheard >= 2:
+            # Danger: who is heard, but hears nothing, would have its promises renewed for ever.
+            share = self._random.uniform(*SILENT_SHARE)
         self.due_ms = now_ms + share * self._terms.promise_ms
         stamp = Stamp(self.box, self.life, self._round)
         return [Say(tuple(self.voters), Ask(stamp, self.task, self.seat, self._asked, self.room))]
 
     def _let_go(self, voters: tuple[str, ...], heir: Who | None) -> list[Say]:
+        held = self._token is not None
         token, self._asked, self._token = max(1, self._asked), 0, None  # one that only waits has none
         self._gone, self._round = max(self._gone, token), 0
         self._ends.clear()
         self._under.clear()
         self._answers.clear()
-        return [self._release(voters, self.seat, token, heir)]
+        return [self._release(voters, self.seat, token, held, heir)]
 
-    def _release(self, voters: tuple[str, ...], seat: int, token: int, heir: Who | None = None) -> Say:
+    def _release(
+        self, voters: tuple[str, ...], seat: int, token: int, held: bool = False, heir: Who | None = None
+    ) -> Say:
         self._number += 1
         self._highest += heir is not None
         heir_token = self._highest if heir is not None else 0
         stamp = Stamp(self.box, self.life, self._number)
-        return Say(voters, Release(stamp, self.task, seat, token, heir, heir_token))
+        return Say(voters, Release(stamp, self.task, seat, token, held, heir, heir_token))
 
     def _heir(self) -> Who | None:
         named = Counter(
--- a/cloverrouter/leases/voter.py
+++ b/cloverrouter/leases/voter.py
@@ -42,12 +42,13 @@
 class _Seat:
     """What is known of one seat."""
 
-    __slots__ = ("free_ms", "number", "promise", "token")
+    __slots__ = ("free_ms", "number", "promise", "renewed", "token")
 
     def __init__(self, terms: Terms) -> None:
         self.promise: Promise[Who] = Promise(terms)
         self.token = self.number = 0  # of the last promise
-        self.free_ms = float("-inf")  # since when it is nobody's
+        self.renewed = False  # whoever has it asked for more time: it is surely held
+        self.free_ms = float("-inf")  # since when nobody holds it
 
 
 class _Task:
@@ -110,6 +111,7 @@
             task.highest = max(task.highest, ask.token)
             return [self._denied(now_ms, task, ask, self.quiet_until_ms - now_ms, wait=False)]
         if mine and seat is not None and ask.token == seat.token:
+            seat.renewed = True
             return [self._promise(now_ms, task, ask, seat)]
         if ask.token <= task.highest:
             free = seat is None or mine or seat.promise.left_ms(now_ms) <= 0
@@ -123,6 +125,9 @@
             if not self._turn(now_ms, task, ask):
                 return [self._denied(now_ms, task, ask, None)]
         seat = task.seats.setdefault(ask.seat, _Seat(self._terms))
+        if not mine:
+            free_ms = self._free_since(now_ms, seat)
+            seat.free_ms, seat.renewed = now_ms if free_ms is None else free_ms, False
         task.room, task.highest = ask.room, ask.token
         task.waiting.pop(asker, None)
         return [Keep(ask.task, ask.token), self._promise(now_ms, task, ask, seat)]
@@ -157,7 +162,8 @@
             return self.quiet_until_ms
         if seat.promise.left_ms(now_ms) > 0:
             return None
-        return seat.free_ms if seat.promise.to is None else seat.promise.until_ms
+        # Danger: votes that were parted and given back would begin the waiting for turns anew each time.
+        return seat.promise.until_ms if seat.promise.to is not None and seat.renewed else seat.free_ms
 
     def _tidy(self, now_ms: float, task: _Task) -> None:
         lost_ms = now_ms - LOST_SHARE * self._terms.promise_ms
@@ -198,7 +204,9 @@
         ):
             return []
         seat.promise.free()
-        seat.free_ms = now_ms
+        held, seat.renewed = seat.renewed or release.held, False
+        if held:
+            seat.free_ms = now_ms
         self._tidy(now_ms, task)
         heir = task.waiting.get(release.heir) if release.heir is not None else None
         if heir is not None and release.heir is not None and release.heir_token > task.highest:
@@ -209,7 +217,7 @@
             ask = Ask(stamp, release.task, release.seat, token, task.room)
             return [Keep(release.task, token), self._promise(now_ms, task, ask, seat)]
         first = next(iter(task.waiting.values()), None)
-        if first is None or now_ms < self.quiet_until_ms:
+        if first is None or not held or now_ms < self.quiet_until_ms:
             return []
         stamp = first[0]
         return [Tell(stamp.box, Free(self.name, stamp, release.task, release.seat, task.highest))]
--- a/cloverrouter/leases/wire.py
+++ b/cloverrouter/leases/wire.py
@@ -5,7 +5,7 @@
 and who answers is its sender: nobody can speak for another.
 
     ask      number u64, task, seat u8, token u64, room u8
-    release  number u64, task, seat u8, token u64, heir (name or a zero byte, life u64), its token u64
+    release  number u64, task, seat u8, token u64, held u8, heir (name or zero, life u64), its token u64
     grant    life u64, number u64, task, seat u8, token u64, highest u64, waiting (as an heir)
     deny     life u64, number u64, task, seat u8, token u64, highest u64,
              left ms u32, busy u64, ahead u16, room u8
@@ -63,7 +63,8 @@
             return Kind.ASK, _u(stamp.number) + task + seat + _u(message.token) + _u(message.room, 1)
         case Release():
             heir = _who(message.heir) + _u(message.heir_token)
-            return Kind.RELEASE, _u(stamp.number) + task + seat + _u(message.token) + heir
+            held = bytes([message.held])
+            return Kind.RELEASE, _u(stamp.number) + task + seat + _u(message.token) + held + heir
         case Grant():
             return Kind.GRANT, to + _u(message.token) + _u(message.highest) + _who(message.waiting)
         case Deny():
@@ -82,7 +83,10 @@
     if told.kind == Kind.ASK:
         message = Ask(stamp, task, seat, token, reader.figure(1))
     elif told.kind == Kind.RELEASE:
-        message = Release(stamp, task, seat, token, _read_who(reader), reader.figure())
+        held = reader.figure(1)
+        if held > 1:
+            raise BadDatagram(Reason.FORM)
+        message = Release(stamp, task, seat, token, bool(held), _read_who(reader), reader.figure())
     else:
         raise BadDatagram(Reason.FORM)
     reader.end()
--- a/cloverrouter/leases/words.py
+++ b/cloverrouter/leases/words.py
@@ -24,13 +24,14 @@
 
 
 class Release(Value):
-    """Who says it has stopped to act, under this token and all that it had before. `heir`: who is to have the
-    seat instead, under `heir_token`."""
+    """Who says it has stopped to act, under this token and all that it had before. `held`: it held the seat,
+    and gives back more than a few votes; `heir`: who is to have it instead, under `heir_token`."""
 
     stamp: Stamp
     task: str
     seat: int
     token: int
+    held: bool = False
     heir: Who | None = None
     heir_token: int = 0
 
