--- a/tests/leases/test_rules.py
+++ b/tests/leases/test_rules.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -418,6 +419,58 @@
     assert fleet.holders() == ["c2"]
 
 
+def ask(
+    voter: Voter, box: str, at_ms: float, token: int, number: int = 1, room: int = 1, seat: int = 0
+) -> Any:
+    out = voter.handle(at_ms, Ask(Stamp(box, 1, number), "t", seat, token, room))[-1]
+    assert isinstance(out, Tell)
+    return out.answer
+
+
+def released(at_ms: float, held: bool = True) -> Voter:
+    """One whose seat was given back at that time, and whom `first` and then `second` have asked before."""
+    voter = Voter("u", T, -10_000.0, 0)
+    ask(voter, "holder", at_ms - 900, 1)
+    ask(voter, "first", at_ms - 800, 2)
+    ask(voter, "second", at_ms - 400, 2)
+    voter.handle(at_ms, Release(Stamp("holder", 1, 2), "t", 0, 1, held))
+    return voter
+
+
+def test_seat_that_is_free_is_kept_a_while_for_whose_turn_it_is() -> None:
+    voter = released(10_000.0)
+    denied = ask(voter, "second", 10_010.0, 3, 2)
+    assert isinstance(denied, Deny) and denied.ahead == 1 and denied.left_ms <= T.promise_ms / 4
+    assert isinstance(ask(voter, "first", 10_020.0, 3, 2), Grant)
+    assert isinstance(ask(released(10_000.0), "second", 10_000.0 + T.promise_ms / 4, 3, 2), Grant)
+
+
+def test_votes_that_were_parted_do_not_begin_the_turns_anew() -> None:
+    """Each voter would keep the seat for another one, again and again."""
+    voter = released(10_000.0)
+    assert isinstance(ask(voter, "second", 10_300.0, 3, 2), Grant)
+    voter.handle(10_310.0, Release(Stamp("second", 1, 3), "t", 0, 3))
+    assert isinstance(ask(voter, "third", 10_320.0, 4), Grant)
+
+
+def test_who_has_not_asked_for_long_is_not_waited_for() -> None:
+    voter = released(10_000.0)
+    ask(voter, "second", 10_010.0, 3, 2)
+    ask(voter, "holder", 10_300.0, 4, 5)  # it holds again, for long
+    for number in range(3):
+        ask(voter, "holder", 10_800.0 + 500 * number, 4, 6 + number)
+        ask(voter, "second", 10_810.0 + 500 * number, 4, 3 + number)
+    voter.handle(12_000.0, Release(Stamp("holder", 1, 9), "t", 0, 4, True))
+    assert isinstance(ask(voter, "second", 12_010.0, 5, 9), Grant)
+
+
+def test_who_thinks_the_task_has_another_room_gets_no_seat_of_it() -> None:
+    voter = Voter("u", T, -10_000.0, 0)
+    assert isinstance(ask(voter, "a", 0.0, 1), Grant)
+    denied = ask(voter, "b", 1.0, 2, room=2, seat=1)
+    assert isinstance(denied, Deny) and denied.room == 1
+
+
 def test_voter_has_room_for_so_many_tasks_and_forgets_only_idle_ones() -> None:
     voter = Voter("u", T, -10_000.0, 0)
     held = Ask(Stamp("c0", 1, 1), "held", 0, 7, 1)
