Leases: task run, a command that runs only while its proxy holds the task

Need: without a task that uses them leases are a toy; operators have nightly jobs that must run at one box.

task run NAME -- COMMAND asks the proxy by its control socket (task keep, task drop); the proxy contends only while it is asked. Right.since tells a token that rose on the way from one that was lost in between.

Seen while testing: with the proxy stopped, the question itself hung for 2 s and the command outlived its right by 1 s; each question now has the time that is left (ControlClient.wait_at_most).

--- a/cloverrouter/cli.py
+++ b/cloverrouter/cli.py
@@ -43,6 +43,19 @@
     witness.add_argument("--promise-ms", type=float, default=3000.0, help="as in the boxes' files (3000)")
     witness.add_argument("--secret-file", help="the pair's secret")
 
+    task = words.add_parser("task", help="run a command only while this proxy's member holds a task")
+    does = task.add_subparsers(dest="does", required=True, metavar="run")
+    runs = does.add_parser("run", help="task run NAME -- COMMAND; see docs/leases.md for the exit codes")
+    at = runs.add_mutually_exclusive_group()
+    at.add_argument("--socket", help=f"the proxy's control socket ({DEFAULT_SOCKET})")
+    at.add_argument("--site", help="the operators' file that names the socket's folder")
+    runs.add_argument("--room", type=int, default=1, help="as many may hold it at a time (1)")
+    runs.add_argument("--wait", type=float, metavar="S", help="give up after so long without it")
+    runs.add_argument("--longest", type=float, metavar="S", help="the command may run for so long")
+    runs.add_argument("--grace", type=float, default=1.0, metavar="S", help="between stop and kill (1)")
+    runs.add_argument("name", help="the task's name")
+    runs.add_argument("command", nargs="+", metavar="COMMAND", help="behind --")
+
     for word, text in (
         ("console", "watch a running proxy and give it commands, in a terminal"),
         ("ctl", "give a running proxy one command, and end"),
@@ -157,6 +170,10 @@
     except ValueError as wrong:
         print(wrong, file=sys.stderr)
         return USAGE
+    if told.word == "task":
+        from cloverrouter.leases.run import run as run_task
+
+        return run_task(path, told.name, told.room, told.command, told.wait, told.longest, told.grace)
     if told.word == "ctl":
         return ctl(path, told.words, told.json)
     from cloverrouter.console.app import main as console
--- a/cloverrouter/control/client.py
+++ b/cloverrouter/control/client.py
@@ -54,6 +54,10 @@
     def close(self) -> None:
         self._socket.close()
 
+    def wait_at_most(self, timeout_s: float) -> None:
+        """For each answer from here on."""
+        self._socket.settimeout(timeout_s)
+
     def _read(self) -> Json:
         try:
             while not self._ready:
--- a/cloverrouter/leases/direction.py
+++ b/cloverrouter/leases/direction.py
@@ -5,10 +5,10 @@
 import logging
 import secrets
 import time
-from collections.abc import Iterable, Mapping
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Iterable, Mapping
+from typing import TYPE_CHECKING, Any, TypeVar
 
-from cloverrouter.leases.shell import Member
+from cloverrouter.leases.shell import Member, now_ms
 from cloverrouter.proxy.config import StartError, read_address
 from cloverrouter.rights import Terms
 from cloverrouter.seams import Argument, Command, CommandError, Core, Direction, Json, Operator
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from cloverrouter.proxy.frontend import Frontend
 
+T = TypeVar("T")
+KEPT_S = 2.0  # a program that has not asked for so long is gone
 log = logging.getLogger(__name__)
 
 
@@ -28,6 +30,7 @@
     def __init__(self, core: Core, table: Leases) -> None:
         super().__init__(core, table)
         self._member: Member | None = None
+        self._kept: Kept | None = None
 
     @staticmethod
     def descriptors(table: Leases) -> int:
@@ -60,7 +63,12 @@
 
     def commands(self) -> Iterable[Command]:
         assert self._member is not None
-        yield task_command(self._member)
+        self._kept = Kept(self._member)
+        yield task_command(self._member, self._kept)
+
+    def tick(self) -> None:
+        if self._kept is not None:
+            self._kept.look()
 
     def leave(self, final: bool) -> None:
         """Another may have what this one holds."""
@@ -73,8 +81,59 @@
             self._member.close()
 
 
-def task_command(member: Member) -> Command:
-    """`task list`, `show`, `want`, `give-up` and `hand-over`."""
+class Kept:
+    """Tasks that programs on this machine hold (`task run`), for as long as they ask."""
+
+    def __init__(self, member: Member) -> None:
+        self._member = member
+        self._by: dict[str, tuple[int, float]] = {}  # by task: whose, and when it last asked
+
+    def look(self) -> None:
+        """Give back what nobody asks for any more. Danger: a program that died would keep it for ever."""
+        for task, (_, asked_ms) in list(self._by.items()):
+            if now_ms() - asked_ms > KEPT_S * 1000:
+                self._drop(task)
+
+    def keep(self, who: Operator, task: str, room: int) -> Json:
+        pid, asked_ms = self._by.get(task, (who.pid, 0.0))
+        # Danger: two programs of one proxy would both hold what only one may.
+        if pid != who.pid and now_ms() - asked_ms <= KEPT_S * 1000:
+            raise CommandError("busy", f"process {pid} has {task!r} at this proxy", "wait for it to end")
+        if pid != who.pid or task not in self._by:
+            claim = self._member.claims.get(task)
+            if claim is not None and claim.wanted and task not in self._by:
+                raise CommandError("busy", f"this proxy itself has {task!r}", f"task give-up name={task}")
+            self._member.give_back(task)  # the one before had another token
+        self._by[task] = who.pid, now_ms()
+        self._member.want(task, room)
+        right = self._member.may_act(task)
+        if right is None:
+            return {"token": None}
+        return {
+            "token": right.token,
+            "seat": right.seat,
+            "until_s": right.until_s,
+            "since": right.since,
+        }
+
+    def drop(self, who: Operator, task: str) -> None:
+        if self._by.get(task, (0, 0.0))[0] == who.pid:
+            self._drop(task)
+
+    def _drop(self, task: str) -> None:
+        del self._by[task]
+        self._member.give_back(task, hand_over=True)
+
+
+def valid(call: Callable[..., T], *args: Any) -> T:
+    try:
+        return call(*args)
+    except ValueError as error:
+        raise CommandError("bad_argument", str(error), "a short name, and room=1") from error
+
+
+def task_command(member: Member, kept: Kept) -> Command:
+    """`task list`, `show`, `want`, `give-up` and `hand-over`; `keep` and `drop` are `task run`'s."""
 
     def run(who: Operator, told: Mapping[str, Any]) -> Json:
         action, name = told["action"], told["name"]
@@ -86,10 +145,12 @@
             case "show":
                 return member.told(name)
             case "want":
-                try:
-                    member.want(name, told["room"])
-                except ValueError as error:
-                    raise CommandError("bad_argument", str(error), "a short name, and room=1") from error
+                valid(member.want, name, told["room"])
+            case "keep":
+                return valid(kept.keep, who, name, told["room"])
+            case "drop":
+                kept.drop(who, name)
+                return {}
             case "give-up" | "hand-over":
                 member.give_back(name, hand_over=action == "hand-over")
             case other:
--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -118,7 +118,7 @@
         token = claim.may_act(now_ms(), longest_s * 1000) if claim is not None else None
         if claim is None or token is None:
             return None
-        return Right(token, claim.seat, claim.held_until_ms() / 1000)
+        return Right(token, claim.seat, claim.held_until_ms() / 1000, claim.since)
 
     def give_back(self, task: str, hand_over: bool = False) -> None:
         claim = self.claims.get(task)
