Leases: a voter's tokens outlive it, in an SQLite file that is never waited for

Need: without storage tokens grow over restarts only while the time of day does.

leases/store.py keeps a ceiling for each task, raised by 1,000 ahead of need in a thread; a promise above it is not sent, and asked for again.

--- a/cloverrouter/lab/fleet.py
+++ b/cloverrouter/lab/fleet.py
@@ -42,6 +42,7 @@
 voters = {voters}
 promise_ms = {promise_ms}
 secret_file = "{secret}"
+directory = "{directory}"
 """
 TASK = "job"
 
@@ -227,7 +228,12 @@
 
 @asynccontextmanager
 async def fleet(
-    size: int = 5, promise_ms: int = 400, seed: int = 1, room: int = 1, voters: int = VOTERS
+    size: int = 5,
+    promise_ms: int = 400,
+    seed: int = 1,
+    room: int = 1,
+    voters: int = VOTERS,
+    stored: bool = True,
 ) -> AsyncIterator[Fleet]:
     """The processes are up, and one of them has acted."""
     names = [f"p{i}" for i in range(size)]
@@ -264,6 +270,7 @@
                         voters=msgspec.json.encode(names[:voters]).decode(),
                         promise_ms=promise_ms,
                         secret=secret,
+                        directory=own / "state" if stored else "",
                     )
                 )
                 config = {
@@ -295,7 +302,8 @@
 async def timeline(seed: int, faults: int = 6, size: int = 5, promise_ms: int = 400) -> Fleet:
     """One run from a seed: faults one upon the other, some at a time, then quiet until somebody acts."""
     random = Random(seed)
-    async with fleet(size, promise_ms, seed, random.choice((1, 1, 2))) as found:
+    stored = random.random() < 0.5
+    async with fleet(size, promise_ms, seed, random.choice((1, 1, 2)), stored=stored) as found:
         for way in found.links.values():
             if random.random() < 0.3:
                 way.loss, way.double = random.choice((0.0, 0.2)), random.choice((0.0, 0.2))
--- a/cloverrouter/leases/direction.py
+++ b/cloverrouter/leases/direction.py
@@ -6,6 +6,7 @@
 import secrets
 import time
 from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, TypeVar
 
 from cloverrouter.leases.shell import Member, now_ms
@@ -34,11 +35,16 @@
 
     @staticmethod
     def descriptors(table: Leases) -> int:
-        return 1
+        return 4 if table.directory else 1  # its store: the file, its journal, the folder
 
     async def start(self, frontend: Frontend) -> None:
         table = self.table
         try:
+            store = None
+            if table.directory and table.name in table.voters:
+                from cloverrouter.leases.store import Store
+
+                store = Store(Path(table.directory))
             member = Member(
                 table.name,
                 secrets.randbits(63) + 1,
@@ -47,6 +53,7 @@
                 Terms(promise_ms=float(table.promise_ms)),
                 secret_of(table.secret_file),
                 secret_of(table.former_secret_file),
+                store=store,
                 floor=time.time_ns() // 1_000_000,
                 changed=self._changed,
                 alarm=self.core.alarms.set,
--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -10,19 +10,23 @@
 import logging
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any
 
 from cloverrouter.clock import now_s
 from cloverrouter.datagrams import BadDatagram, Courier, Datagram, named
 from cloverrouter.leases.claim import Claim, Say
 from cloverrouter.leases.voter import Keep, Voter
 from cloverrouter.leases.wire import ANSWERS, FLEET, REQUESTS, answer_of, request_of, written
-from cloverrouter.leases.words import MOST_ROOM, Answer, Request
+from cloverrouter.leases.words import MOST_ROOM, Answer, Grant, Request
 from cloverrouter.post import Post, SocketAddress
 from cloverrouter.rights import Terms
 from cloverrouter.seams import Right
 
+if TYPE_CHECKING:
+    from cloverrouter.leases.store import Store
+
 MOST_CLAIMS = 64
+RESERVE = 1000  # tokens, by which a stored ceiling is raised
 log = logging.getLogger(__name__)
 
 
@@ -30,25 +34,6 @@
     return now_s() * 1000
 
 
-class Store(Protocol):
-    """Where a voter keeps its tokens."""
-
-    def load(self) -> dict[str, int]: ...
-
-    def keep(self, task: str, highest: int) -> None:
-        """On the disk when this returns. Raises OSError if it can't be."""
-
-
-class NoStore:
-    """Nothing is kept: tokens begin above the start's time of day."""
-
-    def load(self) -> dict[str, int]:
-        return {}
-
-    def keep(self, task: str, highest: int) -> None:
-        pass
-
-
 class Member:
     """Fills the seam `Tasks`. `addresses`: of all other members by name; `voters`: names, perhaps its own
     among them. `changed` is called with a task, its token or None, and why, whenever the right to it begins
@@ -69,15 +54,16 @@
         changed: Callable[[str, int | None, str], None] = lambda task, token, why: None,
         alarm: Callable[[str, str | None], None] = lambda name, text: None,
     ) -> None:
-        """Raises OSError if the store can't be read."""
         self._loop = asyncio.get_running_loop()
         self.name, self.life, self._terms = name, life, terms
         self._weights = dict.fromkeys(voters, 1)
         self._changed, self._alarm = changed, alarm
-        self._store = store or NoStore()
+        self._store, self._raising = store, set[str]()
+        self._ceilings = dict(store.ceilings) if store is not None else {}
         self.voter: Voter | None = None
         if name in self._weights:
-            self.voter = Voter(name, terms, now_ms(), floor, self._store.load())
+            floor = max(floor, store.floor) if store is not None else floor
+            self.voter = Voter(name, terms, now_ms(), floor, self._ceilings)
         self.claims: dict[str, Claim] = {}
         self._tokens: dict[str, int] = {}  # as told
         self._random = Random(life)
@@ -96,6 +82,8 @@
         if self._timer is not None:
             self._timer.cancel()
         self.post.close()
+        if self._store is not None:
+            self._store.close()
 
     # For whoever has a task to do
 
@@ -140,20 +128,41 @@
         assert self.voter is not None
         for out in self.voter.handle(now_ms(), request):
             if isinstance(out, Keep):
-                try:
-                    self._store.keep(out.task, out.highest)
-                except OSError as error:
-                    # Danger: a promise that is not kept could be given again after a restart.
-                    self._alarm("leases", f"this voter promises nothing: its store can't be written: {error}")
-                    log.error("a promise for %s is not given: %s", out.task, error)
-                    return
-                self._alarm("leases", None)
-            elif out.to == self.name:
+                continue  # what is stored is a ceiling above many tokens
+            if isinstance(out.answer, Grant) and not self._covered(out.answer.task, out.answer.token):
+                continue  # it is asked for again, under the same token
+            if out.to == self.name:
                 # Not from within what asked: that is in the middle of its own change.
                 self._loop.call_soon(self._heard, out.answer)
             elif out.to in self.post.addresses:
                 self.post.send(out.to, *written(out.answer))
 
+    def _covered(self, task: str, token: int) -> bool:
+        """Is that token under what is stored? Danger: a promise that is not kept could be given again, to
+        another, after a restart."""
+        if self._store is None:
+            return True
+        ceiling = self._ceilings.get(task, 0)
+        if token + RESERVE // 2 > ceiling and task not in self._raising:
+            self._raising.add(task)
+            raising = self._loop.run_in_executor(
+                self._store.thread, self._store.raise_to, task, token + RESERVE
+            )
+            raising.add_done_callback(lambda done: self._raised(task, token + RESERVE, done))
+        return token <= ceiling
+
+    def _raised(self, task: str, ceiling: int, done: asyncio.Future[None]) -> None:
+        self._raising.discard(task)
+        if done.cancelled():
+            return
+        error = done.exception()
+        if error is None:
+            self._ceilings[task] = ceiling
+            self._alarm("leases", None)
+        else:
+            self._alarm("leases", f"this voter promises nothing: its tokens can't be stored: {error}")
+            log.error("tokens of %s are not stored: %s", task, error)
+
     def _heard(self, answer: Answer) -> None:
         claim = self.claims.get(answer.task)
         if claim is not None:
--- a/cloverrouter/site/settings.py
+++ b/cloverrouter/site/settings.py
@@ -120,6 +120,7 @@
     promise_ms: Annotated[int, Meta(ge=200, le=60_000, description="milliseconds from 200 to 60000")] = 3000
     secret_file: Annotated[str, Meta(max_length=4096, description="a file's absolute path, or empty")] = ""
     former_secret_file: Annotated[str, Meta(max_length=4096, description="the same")] = ""
+    directory: Annotated[str, Meta(max_length=4096, description="a folder's absolute path, or empty")] = ""
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -229,7 +230,7 @@
     if leases.enabled and (len(leases.voters) % 2 == 0 or len(set(leases.voters)) < len(leases.voters)):
         right = "must be an odd number of different names, best 3 or 5: an even one stands no more failures"
         faults.append(Fault("leases.voters", f"names {len(leases.voters)}", right))
-    for key in ("secret_file", "former_secret_file"):
+    for key in ("secret_file", "former_secret_file", "directory"):
         path = getattr(leases, key)
         if path and not path.startswith("/"):
             faults.append(Fault(f"leases.{key}", f"is {path!r}", "must be an absolute path"))
