task run: waits its turn at its own proxy, names a grace that is too long, and is simpler

Seen by taking guards out: four of them could not matter, since the command is told to stop while there is time for its grace (the token's beginning, a start with little time, a kill by the right's end, Right.since); they are gone. A grace over 0.55 of a promise would have stopped commands whose right was renewed in time: refused with the figure. Another program at the same proxy is waited for like any other holder. What a command started is stopped with it.

Store: a file that is refused is closed, or its lock stayed until it was collected (the next start waited 5 s).

--- a/cloverrouter/lab/fleet.py
+++ b/cloverrouter/lab/fleet.py
@@ -190,7 +190,11 @@
 
     @property
     def changes(self) -> int:
-        return sum(a.act.pid != b.act.pid for a, b in pairwise(self.accepted()))
+        """Of holders, seat by seat."""
+        by_seat: dict[int, list[int]] = {}
+        for noted in self.accepted():
+            by_seat.setdefault(noted.act.seat, []).append(noted.act.pid)
+        return sum(a != b for pids in by_seat.values() for a, b in pairwise(pids))
 
     def tell(self) -> None:
         """What each believed of its rights, in order of the machine's one clock: it explains, the resource
--- a/cloverrouter/leases/claim.py
+++ b/cloverrouter/leases/claim.py
@@ -52,7 +52,6 @@
         self.trouble: str | None = None  # what operators have set differently elsewhere
         self._random = random
         self._token: int | None = None  # that it may name; None: it holds nothing
-        self.since = 0  # the first token of the time for which it has held the seat
         self._asked = 0  # the token that it asks for
         self._highest = 0  # that it knows of
         self._gone = 0  # promises under tokens up to this one were given back, or are as soon as they come
@@ -139,7 +138,6 @@
             first, self._token = self._token is None, self._asked
             self._parted = 0
             if first:
-                self.since = self._asked
                 self.due_ms = now_ms + RENEW_SHARE * self._terms.promise_ms
         return []
 
--- a/cloverrouter/leases/direction.py
+++ b/cloverrouter/leases/direction.py
@@ -113,15 +113,11 @@
             self._member.give_back(task)  # the one before had another token
         self._by[task] = who.pid, now_ms()
         self._member.want(task, room)
-        right = self._member.may_act(task)
+        right, promise_s = self._member.may_act(task), self._member.promise_s
         if right is None:
-            return {"token": None}
-        return {
-            "token": right.token,
-            "seat": right.seat,
-            "until_s": right.until_s,
-            "since": right.since,
-        }
+            return {"token": None, "promise_s": promise_s}
+        told = {"token": right.token, "seat": right.seat, "until_s": right.until_s}
+        return {**told, "promise_s": promise_s}
 
     def drop(self, who: Operator, task: str) -> None:
         if self._by.get(task, (0, 0.0))[0] == who.pid:
--- a/cloverrouter/leases/run.py
+++ b/cloverrouter/leases/run.py
@@ -25,6 +25,7 @@
 UNREACHABLE, NOT_HELD, STOPPED, KILLED, TOO_LONG, NOT_RUN = 120, 121, 122, 123, 124, 127
 MARGIN_S = 0.05  # between the kill and the right's end
 LOOKS_S = 0.05
+GRACE_SHARE = 0.55  # of a promise, that a command may be given to stop in
 ASKS_S = 0.15  # between two questions to the proxy
 
 
@@ -35,11 +36,11 @@
 class Keeper:
     """What the proxy says of the right, asked again and again over one connection, or a new one."""
 
-    def __init__(self, path: Path, task: str, room: int) -> None:
-        self._path, self._task, self._room = path, task, room
+    def __init__(self, path: Path, task: str, room: int, grace_s: float) -> None:
+        self._path, self._task, self._room, self._grace_s = path, task, room, grace_s
         self._client: ControlClient | None = None
         self.right: Right | None = None
-        self.why_not = ""
+        self.why_not, self.reached = "", False
 
     def ask(self, timeout_s: float) -> None:
         """Raises `Refused`. Where nobody answers, the right that is known stands, up to its end."""
@@ -49,15 +50,22 @@
             self._client.wait_at_most(timeout_s)
             told = self._client.ask("task", action="keep", name=self._task, room=self._room)
         except (Unreachable, Lost) as wrong:
-            self.why_not = str(wrong)
+            self.why_not, self.reached = str(wrong), False
             self.close()
             return
+        self.reached = True
+        if not told["ok"] and told["error"]["code"] == "busy":
+            self.right, self.why_not = None, told["error"]["text"]
+            return
         if not told["ok"]:
             raise Refused(f"{told['error']['text']}; {told['error']['right']}")
         found: dict[str, Any] = told["result"]
+        most_s = GRACE_SHARE * found["promise_s"]
+        if self._grace_s > most_s:
+            # A right that is renewed in time has no less left, ever; with more to stop in it seems lost.
+            raise Refused(f"--grace {self._grace_s:g} is too long for its promises; at most {most_s:g}")
         token = found["token"]
-        right = Right(token, found["seat"], found["until_s"], found["since"]) if token is not None else None
-        self.right = right
+        self.right = Right(token, found["seat"], found["until_s"]) if token is not None else None
         self.why_not = "another holds it, or too few voters answer"
 
     def drop(self) -> None:
@@ -96,7 +104,7 @@
 ) -> int:
     """The exit code. `wait_s`: for the task, `longest_s`: for the command (None: without end); `grace_s`:
     between telling it to stop and killing it."""
-    keeper, begun_s = Keeper(path, task, room), now_s()
+    keeper, begun_s = Keeper(path, task, room, grace_s), now_s()
     told: list[int] = []
     before = [
         signal.signal(number, lambda number, frame: told.append(number))
@@ -105,13 +113,13 @@
     try:
         while True:
             keeper.ask(2.0)
-            if keeper.left_s() > grace_s + MARGIN_S:
+            if keeper.right is not None:
                 break
             if told:
                 return 128 + told[0]
             if wait_s is not None and now_s() - begun_s >= wait_s:
                 say(f"task {task} is not held after {wait_s:g} s: {keeper.why_not}")
-                return NOT_HELD if keeper.why_not.startswith("another") else UNREACHABLE
+                return NOT_HELD if keeper.reached else UNREACHABLE
             time.sleep(ASKS_S)
         return _carry_out(keeper, task, command, longest_s, grace_s, told, say)
     except Refused as wrong:
@@ -148,9 +156,6 @@
             asked_s = now
             # Danger: a proxy that does not answer must not keep this from killing in time.
             keeper.ask(max(0.05, min(1.0, keeper.left_s() - grace_s - MARGIN_S)))
-            if keeper.right is not None and keeper.right.since != first.since:
-                # Danger: another may have held it in between, under a token higher than the command's.
-                keeper.right = None
         if stopping is None:
             if told:
                 stopping = now, 128 + told[0], "this program was told to end"
@@ -161,7 +166,7 @@
             if stopping is not None:
                 say(f"{command[0]} is told to stop: {stopping[2]}")
                 _signal(child, signal.SIGTERM)
-        elif keeper.left_s() <= MARGIN_S or now - stopping[0] >= grace_s:
+        elif now - stopping[0] >= grace_s:  # begun so early that its right lasts until then
             _signal(child, signal.SIGKILL)
             child.wait()
             say(f"{command[0]} was killed: it did not stop in time")
--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -106,7 +106,7 @@
         token = claim.may_act(now_ms(), longest_s * 1000) if claim is not None else None
         if claim is None or token is None:
             return None
-        return Right(token, claim.seat, claim.held_until_ms() / 1000, claim.since)
+        return Right(token, claim.seat, claim.held_until_ms() / 1000)
 
     def give_back(self, task: str, hand_over: bool = False) -> None:
         claim = self.claims.get(task)
@@ -208,6 +208,10 @@
 
     # For operators
 
+    @property
+    def promise_s(self) -> float:
+        return self._terms.promise_ms / 1000
+
     def told(self, task: str) -> dict[str, Any]:
         claim, at_ms = self.claims.get(task), now_ms()
         found: dict[str, Any] = {"task": task}
--- a/cloverrouter/leases/store.py
+++ b/cloverrouter/leases/store.py
@@ -35,6 +35,8 @@
             folder.mkdir(mode=0o700, parents=True, exist_ok=True)
             self._open()
         except (sqlite3.Error, OSError) as error:
+            if hasattr(self, "_base"):
+                self._base.close()  # or its lock would stay until it is collected
             if isinstance(error, StoreError):
                 raise
             right = "if it is damaged, move it away and start: tokens then begin above the time of day"
--- a/cloverrouter/seams.py
+++ b/cloverrouter/seams.py
@@ -157,7 +157,6 @@
     token: int
     seat: int
     until_s: float
-    since: int  # the token under which it began: where that is the same, nobody had it in between
 
 
 class Tasks(Protocol):
@@ -184,7 +183,7 @@
         pass
 
     def may_act(self, task: str, longest_s: float = 0.0) -> Right | None:
-        return Right(self._token, 0, float("inf"), self._token)
+        return Right(self._token, 0, float("inf"))
 
     def give_back(self, task: str, hand_over: bool = False) -> None:
         pass
--- a/tests/leases/test_run.py
+++ b/tests/leases/test_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import shlex
 import signal
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 from cloverrouter.lab.fleet import Fleet, fleet
 from cloverrouter.lab.process import LONG_S
 from cloverrouter.leases import run as codes
+from tests.standins.appliance import Line
 
 # Writes its token and its times, and whether it was told to stop; `stubborn` ignores that.
 COMMAND = """
@@ -37,10 +39,20 @@
 class Runner:
     """One `task run` at a member."""
 
-    def __init__(self, found: Fleet, member: str, how: str = "mild", for_s: float = 60.0, *more: str) -> None:
+    def __init__(
+        self,
+        found: Fleet,
+        member: str,
+        how: str = "mild",
+        for_s: float = 60.0,
+        *more: str,
+        shell: bool = False,
+    ) -> None:
         self.out = found.folder / f"{member}-{time.monotonic_ns()}"
         socket = found.folder / member / "control" / "control.sock"
         command = [sys.executable, "-c", COMMAND, str(self.out), how, str(for_s)]
+        if shell:  # which stops when it is told, and leaves the command to itself
+            command = ["sh", "-c", f"{shlex.join(command)} & wait"]
         words = ["task", "run", "--socket", str(socket), "--grace", "0.2", *more, "nightly", "--", *command]
         self.process = subprocess.Popen(
             [sys.executable, "-m", "cloverrouter", *words], stderr=subprocess.PIPE
@@ -58,6 +70,10 @@
     async def ended(self) -> int:
         return await asyncio.get_running_loop().run_in_executor(None, self.process.wait, LONG_S)
 
+    @property
+    def token(self) -> int:
+        return int(self.lines("begin")[0][1])
+
     @property
     def last_s(self) -> float:
         """When it was last alive."""
@@ -76,9 +92,7 @@
     async def scene(found: Fleet) -> None:
         runners = [Runner(found, name, "mild", 0.5) for name in found.members]
         assert [await runner.ended() for runner in runners] == [7, 7, 7]
-        spans = sorted(
-            (float(r.lines("begin")[0][2]), r.last_s, int(r.lines("begin")[0][1])) for r in runners
-        )
+        spans = sorted((float(r.lines("begin")[0][2]), r.last_s, r.token) for r in runners)
         assert spans[0][1] < spans[1][0] and spans[1][1] < spans[2][0]
         assert spans[0][2] < spans[1][2] < spans[2][2]  # tokens grow
         code = await Runner(found, "p0", "mild", 0.5, "--longest", "0.2").ended()
@@ -114,16 +128,24 @@
 
 def test_program_that_is_killed_or_told_to_end_frees_the_task(tmp_path: Path) -> None:
     async def scene(found: Fleet) -> None:
-        told = Runner(found, "p0", "mild")
+        told = Runner(found, "p0", "stubborn", shell=True)
         await told.began()
         waits = Runner(found, "p0", "mild", 0.1, "--wait", "0.3")  # at the same proxy
         assert await waits.ended() == codes.NOT_HELD and not waits.lines("begin")
         told.process.send_signal(signal.SIGTERM)
         assert await told.ended() == 128 + signal.SIGTERM and told.lines("told")
+        last_s = told.last_s
         killed = Runner(found, "p1", "mild", 1.0)
         await killed.began()
         killed.process.kill()
-        assert await Runner(found, "p0", "mild", 0.1).ended() == 7
+        after = Runner(found, "p1", "mild", 0.1)  # at the same proxy: under a token of its own all the same
+        assert await after.ended() == 7 and after.token > killed.token
+        assert told.last_s == last_s, "what the command had started goes on"
+        line = await Line.to(found.folder / "p2" / "control" / "control.sock")
+        await line.result("task", action="want", name="nightly")
+        itself = Runner(found, "p2", "mild", 0.1, "--wait", "0.3")  # the proxy itself contends for it
+        assert await itself.ended() == codes.NOT_HELD and not itself.lines("begin")
+        assert await Runner(found, "p0", "mild", 0.1, "--grace", "0.8").ended() == codes.NOT_HELD
         none = Runner(found, "p0", "mild", 0.1, "--wait", "0.3", "--socket", str(tmp_path / "none"))
         assert await none.ended() in (codes.UNREACHABLE, 2)
 
--- a/tests/standins/appliance.py
+++ b/tests/standins/appliance.py
@@ -34,6 +34,12 @@
         self.hello: Json = {}
         self.last_id = 0
 
+    @classmethod
+    async def to(cls, path: Path) -> Line:
+        line = cls(*await asyncio.open_unix_connection(str(path), limit=MOST_ANSWER))
+        line.hello = await line.read()
+        return line
+
     async def read(self) -> Json:
         """The next line; an empty object at the end of the connection."""
         async with asyncio.timeout(LONG_S):
@@ -76,9 +82,7 @@
         return {"PROXY_SITE": str(self.file)}
 
     async def line(self) -> Line:
-        line = Line(*await asyncio.open_unix_connection(str(self.socket), limit=MOST_ANSWER))
-        line.hello = await line.read()
-        return line
+        return await Line.to(self.socket)
 
     async def ctl(self, *words: str) -> tuple[int, str, str]:
         """`ctl` as its own process: exit code, standard output, standard error."""
