--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -198,7 +198,6 @@
 
     def _set_timer(self) -> None:
         dues = [claim.due_ms for claim in self.claims.values()]
-        dues += [claim.held_until_ms() for claim in self.claims.values() if claim.task in self._tokens]
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/tests/leases/test_store.py
+++ b/tests/leases/test_store.py
@@ -154,3 +154,4 @@
         again = Store(tmp_path)
         assert again.floor == storing.MOST_KEPT + 5 and not again.ceilings
         again.close()
+    assert asyncio.run(token_of(Store(tmp_path))) > storing.MOST_KEPT + 5
