--- a/cloverrouter/lab/claims.py
+++ b/cloverrouter/lab/claims.py
@@ -11,11 +11,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from random import Random
 from typing import Any
 
-from cloverrouter.lab.engine import Engine
-from cloverrouter.lab.pairs import Clock, way
+from cloverrouter.lab.pairs import Clock, Simulated, way
 from cloverrouter.leases.claim import Claim, Say
 from cloverrouter.leases.voter import Keep, Out, Tell, Voter
 from cloverrouter.leases.words import Request
@@ -136,7 +134,7 @@
 Node = VoterNode | Contender
 
 
-class World:
+class World(Simulated):
     def __init__(
         self,
         seed: int,
@@ -145,9 +143,8 @@
         room: int | None = None,
         faults: int | None = None,
     ) -> None:
-        self.seed, self.parts = seed, parts or Parts()
-        self.random = random = Random(seed)
-        self.engine = Engine()  # its time is in ms here
+        super().__init__(seed)
+        self.parts, random = parts or Parts(), self.random
         self.acts = self.changes = 0
         self.highest: dict[int, tuple[int, str, int]] = {}  # by seat: the last token, and who acted under it
         self.crash_at_store = random.choice((0.0, 0.1)) if faults is None else 0.0
@@ -161,7 +158,7 @@
             (x, y): way(random, harsh, False) for x in ends for y in ends if (x in voters) != (y in voters)
         }
         stored = random.random() < 0.5
-        self.nodes: dict[str, Node] = {name: VoterNode(self, name, stored) for name in voters}
+        self.nodes = {name: VoterNode(self, name, stored) for name in voters}
         self.contenders: list[Contender] = []
         for name in names:
             contender = Contender(self, name, self.room)
@@ -173,30 +170,6 @@
         for _ in range(random.randrange(9) if faults is None else faults):
             self.at(random.uniform(0, LENGTH_MS), None, self._fault)
 
-    @property
-    def now_ms(self) -> float:
-        return self.engine.now
-
-    def at(self, time_ms: float, node: Node | None, call: Callable[[], None]) -> None:
-        """At that time, or when the node runs again."""
-
-        def due() -> None:
-            if node is not None and node.paused_until_ms == float("inf"):
-                return
-            if node is not None and self.now_ms < node.paused_until_ms:
-                # Danger to the rules: after a pause timers and messages come in any order.
-                self.at(node.paused_until_ms + self.random.random() * 0.01, node, call)
-            else:
-                call()
-
-        self.engine.post(time_ms - self.now_ms, due)
-
-    def send(self, source: str, target: str, message: Any) -> None:
-        node = self.nodes.get(target)
-        if node is not None:
-            for wait_ms in self.links[source, target].times(self.now_ms):
-                self.at(self.now_ms + wait_ms, node, lambda: node.receive(source, message))
-
     def _gone(self, node: Node) -> None:
         node.paused_until_ms = float("inf")
 
--- a/cloverrouter/lab/pairs.py
+++ b/cloverrouter/lab/pairs.py
@@ -145,12 +145,48 @@
             self.world.at(max(self.world.now_ms, self.clock.true(due_ms) + 1e-6), self, tick)
 
 
-class World:
+class Simulated:
+    """Nodes by name, links by their two ends, one seed and one simulated time, in ms."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.random = seed, Random(seed)
+        self.engine = Engine()
+        self.nodes: dict[str, Any] = {}
+        self.links: dict[tuple[str, str], Way] = {}
+
+    @property
+    def now_ms(self) -> float:
+        return self.engine.now
+
+    def at(self, time_ms: float, node: Any, call: Callable[[], None]) -> None:
+        """At that time, or when the node runs again, if it ever does."""
+
+        def due() -> None:
+            if node is not None and node.paused_until_ms == float("inf"):
+                return
+            if node is not None and self.now_ms < node.paused_until_ms:
+                # Danger to the rules: after a pause timers and messages come in any order.
+                self.at(node.paused_until_ms + self.random.random() * 0.01, node, call)
+            else:
+                call()
+
+        self.engine.post(time_ms - self.now_ms, due)
+
+    def send(self, source: str, target: str, message: Any) -> None:
+        if source == target:
+            self.nodes[target].receive(source, message)
+            return
+        node = self.nodes.get(target)
+        if node is not None:
+            for wait_ms in self.links[source, target].times(self.now_ms):
+                self.at(self.now_ms + wait_ms, node, lambda: node.receive(source, message))
+
+
+class World(Simulated):
     def __init__(self, seed: int, parts: Parts | None = None, calm: bool = False) -> None:
         """`calm`: no faults, no loss, each way takes `CALM_MS`."""
-        self.seed, self.parts = seed, parts or Parts()
-        self.random = random = Random(seed)
-        self.engine = Engine()  # its time is in ms here
+        super().__init__(seed)
+        self.parts, random = parts or Parts(), self.random
         self.takes = 0
         witness = random.random() < 0.6
         self.weights = {"a": 1, "b": 1, "w": 1} if witness else {"a": 2, "b": 1}
@@ -162,7 +198,6 @@
         }
         for link in self.links.values() if calm else ():
             link.delay = lambda: CALM_MS
-        self.nodes: dict[str, Node] = {}
         equal = not calm and random.random() < 0.2
         for name, priority in (("a", 200), ("b", 200 if equal else 100)):
             self.nodes[name] = BoxNode(self, name, priority)
@@ -178,33 +213,6 @@
         for _ in range(0 if calm else random.randrange(6)):
             self.at(random.uniform(0, LENGTH_MS), None, self._fault)
 
-    # Events
-
-    @property
-    def now_ms(self) -> float:
-        return self.engine.now
-
-    def at(self, time_ms: float, node: Node | None, call: Callable[[], None]) -> None:
-        """At that time, or when the node runs again."""
-
-        def due() -> None:
-            if node is not None and self.now_ms < node.paused_until_ms:
-                # Danger to the rules: after a pause timers and messages come in any order.
-                self.at(node.paused_until_ms + self.random.random() * 0.01, node, call)
-            else:
-                call()
-
-        self.engine.post(time_ms - self.now_ms, due)
-
-    def send(self, source: str, target: str, message: Any) -> None:
-        if source == target:
-            self.nodes[target].receive(source, message)
-            return
-        node = self.nodes.get(target)
-        if node is not None:
-            for wait_ms in self.links[source, target].times(self.now_ms):
-                self.at(self.now_ms + wait_ms, node, lambda: node.receive(source, message))
-
     def _fault(self) -> None:
         random, name = self.random, self.random.choice(list(self.nodes))
         node = self.nodes[name]
