--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -106,6 +106,8 @@
             except BlockingIOError:
                 continue
         assert len(answers) == 1 and b"Connection: close" in answers[0]
+        frontend.stop_accepting()
+        await asyncio.sleep(0.05)
 
     play(scene)
 
@@ -125,6 +127,7 @@
         for client in clients[8:]:
             with pytest.raises(ConnectionResetError):
                 client.recv(10)
+        frontend.stop_accepting()
 
     play(scene)
 
