--- a/cloverrouter/lab/fleet.py
+++ b/cloverrouter/lab/fleet.py
@@ -132,6 +132,17 @@
         fault.to_s = time.monotonic()
         self.members[name].signal(signal.SIGCONT)
 
+    async def starve(self, name: str, for_s: float) -> None:
+        """It gets a tenth of its time."""
+        fault = Fault("stop", name, time.monotonic(), float("inf"))
+        self.faults.append(fault)
+        while time.monotonic() < fault.from_s + for_s:
+            self.members[name].signal(signal.SIGSTOP)
+            await asyncio.sleep(0.09)
+            self.members[name].signal(signal.SIGCONT)
+            await asyncio.sleep(0.01)
+        fault.to_s = time.monotonic()
+
     async def cut(self, ways: list[tuple[str, str]], for_s: float) -> None:
         from_s = time.monotonic()
         for way in ways:
@@ -153,7 +164,7 @@
         name, span_s = random.choice(list(self.members)), random.uniform(0.2, 4.0) * self.promise_s
         if random.random() < 0.6:  # mostly whoever holds the task
             name = self.holder
-        match random.randrange(6):
+        match random.randrange(7):
             case 0:
                 await self.kill(name, span_s / 4)
             case 1 | 2:
@@ -164,6 +175,8 @@
                 await self.cut([way for way in self.links if name in way], span_s)
             case 5:
                 await self.leave(name)
+            case 6:
+                await self.starve(name, span_s)
 
     # What is seen
 
