task run: a proxy that leaves keeps the task until the command has stopped

Now programs are told to stop and the task goes when they drop it, or by itself when its promises end; commands for a task that a program has are refused. A program that is silent keeps it as long as it was told it may act. An heir, whose right counts from an older request, renews at once (claim._granted): it lost the seat.

--- a/cloverrouter/leases/claim.py
+++ b/cloverrouter/leases/claim.py
@@ -138,7 +138,9 @@
             first, self._token = self._token is None, self._asked
             self._parted = 0
             if first:
-                self.due_ms = now_ms + RENEW_SHARE * self._terms.promise_ms
+                # Danger: an heir's right counts from a request of some time ago, and is the shorter for it.
+                held_ms = (1 - RENEW_SHARE) * self._terms.promise_ms
+                self.due_ms = max(now_ms, self.held_until_ms() - held_ms)
         return []
 
     def _denied(self, now_ms: float, denial: Deny) -> list[Say]:
--- a/cloverrouter/leases/direction.py
+++ b/cloverrouter/leases/direction.py
@@ -80,12 +80,16 @@
     def leave(self, final: bool) -> None:
         """Another may have what this one holds."""
         if self._member is not None and not final:
+            assert self._kept is not None
+            self._kept.leaving = True
             for task in list(self._member.claims):
-                self._member.give_back(task, hand_over=True)
+                if not self._kept.has(task):
+                    self._member.give_back(task, hand_over=True)
 
     async def close(self) -> None:
         if self._member is not None:
-            self._member.close()
+            kept = self._kept
+            self._member.close(lambda task: kept is not None and kept.has(task))
 
 
 class Kept:
@@ -93,34 +97,44 @@
 
     def __init__(self, member: Member) -> None:
         self._member = member
-        self._by: dict[str, tuple[int, float]] = {}  # by task: whose, and when it last asked
+        # By task: whose, when it last asked, and up to when (CLOCK_BOOTTIME, s) it was told that it may act.
+        self._by: dict[str, tuple[int, float, float]] = {}
+        self.leaving = False  # the proxy is about to end: programs are to stop
 
     def look(self) -> None:
         """Give back what nobody asks for any more. Danger: a program that died would keep it for ever."""
-        for task, (_, asked_ms) in list(self._by.items()):
-            if now_ms() - asked_ms > KEPT_S * 1000:
+        for task in list(self._by):
+            if not self.has(task):
                 self._drop(task)
 
+    def has(self, task: str) -> bool:
+        """Does a program have it, or may its command run on? Danger: given back before that, another would
+        hold it beside a command that was told it may act."""
+        _, asked_ms, until_s = self._by.get(task, (0, 0.0, 0.0))
+        return now_ms() - asked_ms <= KEPT_S * 1000 or now_ms() < until_s * 1000
+
     def keep(self, who: Operator, task: str, room: int) -> Json:
-        pid, asked_ms = self._by.get(task, (who.pid, 0.0))
+        pid, _, until_s = self._by.get(task, (who.pid, 0.0, 0.0))
         # Danger: two programs of one proxy would both hold what only one may.
-        if pid != who.pid and now_ms() - asked_ms <= KEPT_S * 1000:
+        if pid != who.pid and self.has(task):
             raise CommandError("busy", f"process {pid} has {task!r} at this proxy", "wait for it to end")
+        if self.leaving:
+            return {"token": None, "promise_s": self._member.promise_s}
         if pid != who.pid or task not in self._by:
             claim = self._member.claims.get(task)
             if claim is not None and claim.wanted and task not in self._by:
                 raise CommandError("busy", f"this proxy itself has {task!r}", f"task give-up name={task}")
             self._member.give_back(task)  # the one before had another token
-        self._by[task] = who.pid, now_ms()
         self._member.want(task, room)
         right, promise_s = self._member.may_act(task), self._member.promise_s
+        self._by[task] = who.pid, now_ms(), right.until_s if right is not None else until_s
         if right is None:
             return {"token": None, "promise_s": promise_s}
         told = {"token": right.token, "seat": right.seat, "until_s": right.until_s}
         return {**told, "promise_s": promise_s}
 
     def drop(self, who: Operator, task: str) -> None:
-        if self._by.get(task, (0, 0.0))[0] == who.pid:
+        if task in self._by and self._by[task][0] == who.pid:
             self._drop(task)
 
     def _drop(self, task: str) -> None:
@@ -154,6 +168,8 @@
             case "drop":
                 kept.drop(who, name)
                 return {}
+            case "give-up" | "hand-over" if kept.has(name):
+                raise CommandError("busy", f"a program on this machine has {name!r}", "end that program")
             case "give-up" | "hand-over":
                 member.give_back(name, hand_over=action == "hand-over")
             case other:
--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -75,10 +75,12 @@
         """Raises OSError."""
         await self.post.open(listen)
 
-    def close(self) -> None:
-        """What it holds is given back, and nothing is asked for any more."""
+    def close(self, keeps: Callable[[str], bool] = lambda task: False) -> None:
+        """What it holds is given back, and nothing is asked for any more. `keeps`: tasks that somebody may
+        act on still; their promises end by themselves."""
         for claim in self.claims.values():
-            self._carry_out(claim, claim.give_back(hand_over=True))
+            if not keeps(claim.task):
+                self._carry_out(claim, claim.give_back(hand_over=True))
         if self._timer is not None:
             self._timer.cancel()
         self.post.close()
