--- a/cloverrouter/interface.py
+++ b/cloverrouter/interface.py
@@ -122,6 +122,7 @@
     push_multiple: float = 3.0  # sent more than this multiple of its capacity
     push_window_ms: float = 1000.0  # for this long, a cold endpoint falls over
     must_ask_ms: float = 10_000.0  # unsubscribed proxies must ask discovery this often
+    drain_grace_ms: float = 1000.0  # so long after it was told, an endpoint that drains gets nothing new
 
 
 class Prices(Value):
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -93,6 +93,7 @@
             push_multiple=safety["fall_multiple"],
             push_window_ms=safety["fall_ms"],
             must_ask_ms=safety["must_ask_in_ms"],
+            drain_grace_ms=_number(float, safety.get("drain_grace_ms", 1000.0)),
         ),
         prices=Prices(
             cross_zone=prices.get("cross_zone", 0.0),
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from cloverrouter.membership.watching import Asking, Ledger, Question
+from cloverrouter.membership.watching import Asking, Ledger, Question, asking_pushed
 from cloverrouter.proxy.config import Address, HostList, UnixClock, read_list
 from cloverrouter.proxy.wake import wake_of
 
@@ -21,7 +21,7 @@
 STEPS = 3  # of the loop, in which what lies here is read and handed on
 ARRIVES_S = 0.1  # for an answer that is on its way as its time is over, and for the rest of one
 STOOD_S = 0.5
-PUSHED_FIRST_S, PUSHED_MOST_S = 0.1, 2.0
+PUSHED_PAUSE_S = 0.1  # after a call that failed
 log = logging.getLogger(__name__)
 
 
@@ -46,6 +46,60 @@
         self.keep = self.parser.should_keep_alive()
 
 
+class Line:
+    """The way to one address: the connection there, and the call that is out on it.
+
+    Danger: a call that is called off goes on for a step or two. It may connect or hear something in them, and
+    where two calls shared a connection, the next one would be made at the former address. So each address has
+    a line of its own, and what a closed one still brings is dropped.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.heard = False  # something of the answer has come
+        self._wake = wake_of(asyncio.get_running_loop())
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._ended = False
+
+    async def get(self, target: str) -> tuple[int, bytes]:
+        self.heard = False
+        reader, writer = self._streams or await self._connect()
+        host, port = self.address
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+        reply = _Reply()
+        while not reply.complete:
+            data = await reader.read(65536)
+            if not data:
+                raise EOFError("the answer ended early")
+            self.heard = True
+            reply.parser.feed_data(data)
+            if len(reply.body) > MOST_BYTES:
+                raise DiscoveryError("the answer does not end")
+        if not reply.keep:
+            self.hang_up()
+        return reply.parser.get_status_code(), bytes(reply.body)
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        async with self._wake.patience(CONNECT_S):
+            streams = await asyncio.open_connection(*self.address)
+        if self._ended:
+            streams[1].close()
+            raise DiscoveryError("called off")
+        self._streams = streams
+        return streams
+
+    def hang_up(self) -> None:
+        """The next call gets a new connection."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+    def end(self) -> None:
+        """There is no next call."""
+        self._ended = True
+        self.hang_up()
+
+
 class Watch:
     """Keeps a list up to date.
 
@@ -60,17 +114,17 @@
         pushed: bool,
         on_list: Callable[[HostList], None],
         on_failure: Callable[[], None],
+        drain_grace_s: float = 1.0,
     ) -> None:
-        self._address = address
+        """`drain_grace_s`: after a drain was told, the time in which a server may still be sent requests."""
+        self._line = Line(address)
         self._clock = clock
         self._pushed = pushed
         self._on_list = on_list
         self._on_failure = on_failure
         self._wake = wake_of(asyncio.get_running_loop())
-        self._hears = False  # something of an answer has come
         self._task: asyncio.Task[None] | None = None
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-        self.asking = Asking()
+        self.asking = asking_pushed(drain_grace_s) if pushed else Asking()
         self._ledger = Ledger()
 
     def resume(self, version: int) -> None:
@@ -80,7 +134,7 @@
 
     def start(self) -> None:
         if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._task = asyncio.get_running_loop().create_task(self._run(self._line))
 
     def move(self, address: Address) -> None:
         """Ask at another address from now on, first for the whole list: versions are not shared.
@@ -88,7 +142,7 @@
         Danger: a call that is out may go on waiting at the old address while its list grows stale.
         """
         self.stop()
-        self._address = address
+        self._line = Line(address)
         self.asking, self._ledger = Asking(self.asking.hold_s, self.asking.grace_most_s), Ledger()
         self.start()
 
@@ -96,7 +150,7 @@
         task, self._task = self._task, None
         if task is not None:
             task.cancel()
-        self._close()
+        self._line.end()
 
     def _took_s(self, asked_s: float, ran_s: float) -> float:
         """Discovery is not late for as long as this process stood still; small gaps are part of its rhythm,
@@ -105,37 +159,36 @@
         stood_s = now_s - asked_s - (self._wake.ran_s(now_s) - ran_s)
         return now_s - asked_s - (stood_s if stood_s > STOOD_S else 0.0)
 
-    async def _run(self) -> None:
-        backoff_s = PUSHED_FIRST_S
+    async def _run(self, line: Line) -> None:
         while True:
             asked, asked_s = self.asking.question(), asyncio.get_running_loop().time()
             ran_s = self._wake.ran_s(asked_s)
             try:
-                found = await self._call(asked)
+                found = await self._call(line, asked)
             except Exception as error:
                 # Danger: an answer that can't be read in a way nobody thought of would end the watch for
                 # good. Nothing of the module's runs in here: its crashes are not hidden.
                 log.warning("discovery: %s: %s", type(error).__name__, error)
-                self._close()
+                line.hang_up()
                 self.asking.failed(isinstance(error, OSError | EOFError | DiscoveryError))
                 self._on_failure()
                 if not self._pushed:
                     return
-                await asyncio.sleep(backoff_s)
-                backoff_s = min(PUSHED_MOST_S, 2 * backoff_s)
+                # Danger: what a silent agent gets at discovery's return counts as told at once. It is asked at
+                # no cost, and waiting for longer each time would use up a drain's grace.
+                await asyncio.sleep(PUSHED_PAUSE_S)
                 continue
-            backoff_s = PUSHED_FIRST_S
             took_s = self._took_s(asked_s, ran_s)
             self.asking.answered(asked, took_s, found.version, bool(found.entries))
             self._on_list(self._ledger.take(found))
             if not found.entries and asked.hold_s and took_s < HASTY_S:
                 await asyncio.sleep(PAUSE_S)
 
-    async def _call(self, asked: Question) -> HostList:
+    async def _call(self, line: Line, asked: Question) -> HostList:
         target = "/v1/servers"
         if asked.version is not None:
             target = f"{target}?from={asked.version}&hold_ms={asked.hold_s * 1000:.0f}"
-        call = asyncio.get_running_loop().create_task(self._get(target))
+        call = asyncio.get_running_loop().create_task(line.get(target))
         try:
             async with self._wake.patience(asked.hold_s + asked.grace_s):
                 status, body = await asyncio.shield(call)
@@ -146,7 +199,7 @@
             await asyncio.wait([call], timeout=ARRIVES_S)
             for _ in range(STEPS):
                 await asyncio.sleep(0)
-            if not call.done() and self._hears:
+            if not call.done() and line.heard:
                 await asyncio.wait([call], timeout=ARRIVES_S)
             if not call.done():
                 raise
@@ -159,28 +212,3 @@
         if asked.version is None and not found.full:
             raise ValueError("changes came for the whole list")
         return found
-
-    async def _get(self, target: str) -> tuple[int, bytes]:
-        if self._streams is None:
-            async with self._wake.patience(CONNECT_S):
-                self._streams = await asyncio.open_connection(*self._address)
-        reader, writer = self._streams
-        host, port = self._address
-        writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-        reply, self._hears = _Reply(), False
-        while not reply.complete:
-            data = await reader.read(65536)
-            if not data:
-                raise EOFError("the answer ended early")
-            self._hears = True
-            reply.parser.feed_data(data)
-            if len(reply.body) > MOST_BYTES:
-                raise DiscoveryError("the answer does not end")
-        if not reply.keep:
-            self._close()
-        return reply.parser.get_status_code(), bytes(reply.body)
-
-    def _close(self) -> None:
-        if self._streams is not None:
-            self._streams[1].close()
-            self._streams = None
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -111,7 +111,8 @@
 
     upstream = Upstream(sockets // 2, told.conn_idle_ms, told.settings.limits.connect_timeout_ms)
     pushed = not told.settings.subscribe
-    watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed())
+    grace_s = told.settings.safety.drain_grace_ms / 1000
+    watch = Watch(told.discovery, told.clock, pushed, on_list, lambda: node.discovery_failed(), grace_s)
     node = Node(told.settings, told.seed, upstream, watch.start, crash)
     upstream.on_sign = node.seen
     appliance = None if site is None else compose.Appliance(site, told, node)
