SIGHUP: each setting is applied or named; a class keeps the effect it was taken under

After two changes within 1.5 s the gate's former classes were older than the module's: a call valid as unsafe, with no key, was judged by the module as keyed and could be repeated. Both move together now. - config.missing refused a valid new set of classes, and the new discovery address with it, where all former classes were keyed: group and window_ms belong to an effect. - report fields, idle and connect times of the former file were kept silently; they are applied. What a process does not change (name, listen, limits, zone, balancers, ordinal, discovery's kind) is named in the log. - upstream._finish served a 200 that came before its request's last byte was written: no host made it for this request. - drops_repeats took the cell a host has now for the one it had when the first attempt was sent.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -575,6 +575,7 @@
 class Attempt:
     endpoint: Endpoint
     sent_ms: float
+    home: ListedEndpoint  # as it was listed then: another cell since has not heard of the key
     outcome: Outcome | None = None  # None: still out
     counted: bool = True  # as in flight: the server has all of the request, and has not begun to answer
 
@@ -800,7 +801,6 @@
             proxies=old.proxies,
             number=old.number,
             subscribe=old.subscribe,
-            report_fields=old.report_fields,
         )
         if settings.classes != old.classes:
             known = self.former = self.latencies
@@ -1005,7 +1005,7 @@
             return False
         if self.now_ms >= request.repeats_end_ms():
             return False
-        if ran is not None and not drops_repeats(request.cls, ran.endpoint.listed, endpoint.listed):
+        if ran is not None and not drops_repeats(request.cls, ran.home, endpoint.listed):
             return False
         # One request that tries a server is no push, unless a crowd tries it at one moment.
         return self._cold_room(request, endpoint) or (trial and not self.crowded)
@@ -1057,7 +1057,7 @@
         self._drop_timer(request)
         # Danger: a repeat whose connection comes up late would go out after its key is forgotten.
         within_ms = min(request.repeats_end_ms() - self.now_ms, TRIAL_MS if fresh else float("inf"))
-        attempt = Attempt(endpoint, self.now_ms, counted=False)
+        attempt = Attempt(endpoint, self.now_ms, endpoint.listed, counted=False)
         request.attempts.append(attempt)
         request.out += 1
         if request.whole:
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -41,6 +41,12 @@
 DEFAULT_IDLE_MS = 15_000.0
 DEFAULT_SOCKETS = 256
 DEFAULT_MEMORY_MB = 64.0
+OF_EFFECT = ("group", "window_ms")  # of a class: only a keyed one has them
+# What SIGHUP does not change, by where it stands in the file: the process counts on it from its start.
+FIXED = (
+    ("name",), ("listen",), ("limits",), ("peer_listen",), ("peers",), ("peers_all",), ("management",),
+    ("settings", "zone"), ("settings", "balancers"), ("settings", "ordinal"), ("settings", "discovery"),
+)  # fmt: skip
 CLIENTS_SHARE = 1 / 3  # of the descriptors at most are held by clients for requests
 
 
@@ -246,9 +252,15 @@
     elif isinstance(before, list) and before and all(isinstance(entry, dict) for entry in before):
         if not isinstance(now, list):
             return path
-        shared = {key: None for key in before[0] if all(key in entry for entry in before)}
         for i, entry in enumerate(now):
-            if (lost := missing(entry, shared, f"{path}[{i}]")) is not None:
+            # Danger: what only one effect needs is no loss to a class of another; refused for it, the file
+            # would leave discovery's new address unheard, too.
+            told = entry if isinstance(entry, dict) else {}
+            alike = [e for e in before if all(e.get(key) == told.get(key) for key in ("name", "effect"))]
+            shared = [key for key in before[0] if all(key in e for e in before)]
+            shared = [key for key in shared if key not in OF_EFFECT]
+            shared += [key for key in OF_EFFECT if alike and all(key in e for e in alike)]
+            if (lost := missing(entry, dict.fromkeys(shared), f"{path}[{i}]")) is not None:
                 return lost
     return None
 
@@ -275,7 +287,33 @@
     if not settings.classes:
         raise ValueError("settings.categories is empty; right is at least one class")
     told["known"] = None
-    return replace(former, discovery=read_address(told["discovery"]), settings=settings, told=told)
+    return replace(
+        former,
+        discovery=read_address(told["discovery"]),
+        settings=settings,
+        conn_idle_ms=read_idle_ms(told["settings"]),
+        told=told,
+    )
+
+
+def _at(told: Any, path: tuple[str, ...]) -> Any:
+    for key in path:
+        told = told.get(key) if isinstance(told, dict) else None
+    return told
+
+
+def kept(now: Json, before: Json) -> list[str]:
+    """What `now` says otherwise than the file in force, and a running process does not change, as texts."""
+    return [
+        f"{'.'.join(path)} stays {_at(before, path)!r}, the file has {_at(now, path)!r}: a restart changes it"
+        for path in FIXED
+        if _at(now, path) != _at(before, path)
+    ]
+
+
+def read_idle_ms(facts: Json) -> float:
+    """For how long a host keeps a connection that stands idle."""
+    return _number(float, facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS))
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -294,7 +332,7 @@
         seed=read_seed(told.get("seed", 0)),
         sockets=sockets,
         memory_mb=_number(float, limits.get("memory_mb", DEFAULT_MEMORY_MB)),
-        conn_idle_ms=facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS),
+        conn_idle_ms=read_idle_ms(facts),
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_list(told["known"], clock) if told.get("known") else None,
         clock=clock,
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -53,7 +53,6 @@
 from cloverrouter.proxy.observer import Final, Observer, Tried
 from cloverrouter.proxy.upstream import Host, OnBegin, OnEnd
 from cloverrouter.proxy.wake import wake_of
-from cloverrouter.values import replace
 from cloverrouter.view import believed
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
@@ -293,7 +292,7 @@
         # Danger: those that wait to be handed over were found valid by the classes of before; under another
         # effect of the same name they could be repeated with no key.
         self._hand_over()
-        self._settings = replace(settings, report_fields=self._settings.report_fields)
+        self._settings = settings
         # Requests that are open keep their class, and with it the longest time they may take.
         self._longest_ms = max(self._longest_ms, longest_ms(settings))
         self.tell(SettingsChanged(settings))
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -51,6 +51,7 @@
         # Danger: from the first connection on, its default action would lose what was taken.
         loop.add_signal_handler(number, stop.set)
     crashes: list[BaseException] = []
+    first = told
 
     def crash(error: BaseException) -> None:
         crashes.append(error)
@@ -79,10 +80,15 @@
                 management.figures.reloads_failed += 1
             return
         old, told = told, new
+        for text in config.kept(new.told, first.told):
+            log.warning("not changed: %s", text)
+        if new.conn_idle_ms != old.conn_idle_ms or new.settings.limits != old.settings.limits:
+            upstream.retime(new.conn_idle_ms, new.settings.limits.connect_timeout_ms)
         if new.settings != old.settings:
             # One step: a class that the front lets in, the module knows.
-            gate.reclass({cls.name: cls.idempotency for cls in new.settings.classes})
             resettle()
+            if new.settings.classes != old.settings.classes:
+                gate.reclass({cls.name: cls.idempotency for cls in new.settings.classes})
             log.info("settings: classes %s from now on", ", ".join(gate.classes))
         if new.discovery != old.discovery:
             log.info("discovery is at %s:%d from now on", *new.discovery)
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -357,8 +357,12 @@
             exchange.end(Outcome.RESET)
 
     def _finish(self) -> None:
+        assert self._exchange is not None and self._parser is not None
+        if not self._exchange.written and self._parser.get_status_code() == 200:
+            # Danger: no host has made this for a request that it has not got whole; it is a copy of the last.
+            self._lose("ahead of its request's end")
+            return
         exchange, self._exchange = self._exchange, None
-        assert exchange is not None and self._parser is not None
         self._pool.used(self, False)
         exchange.connection = None
         sink, self._sink = self._sink, None
@@ -515,6 +519,10 @@
         self.on_sign: Callable[[str, Sign], None] = lambda name, sign: None
         self.loop.call_later(SWEEP_S, self._sweep)
 
+    def retime(self, idle_ms: float, connect_timeout_ms: float) -> None:
+        """From now on hosts close idle connections after `idle_ms`, and have so long to accept one."""
+        self._idle_s, self._connect_timeout_s = idle_ms * IDLE_SHARE / 1000, connect_timeout_ms / 1000
+
     def ran_s(self) -> float:
         return self.wake.ran_s(self.loop.time())
 
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -152,10 +152,14 @@
         self.alt_svc = b""  # the field that tells of another protocol (RFC 7838), in HTTP/1.1's form
 
     def reclass(self, classes: Mapping[str, Idempotency]) -> None:
-        """These classes hold from now on. Clients hear of them a little later than we do."""
-        if classes != self.classes:
-            self._former, self.classes = self.classes, classes
-            self._former_until_s = self._now_s() + FORMER_S
+        """These classes hold from now on. Clients hear of them a little later than we do.
+
+        To be called whenever the module's classes change, also where only their times do. Danger: what this
+        takes for the former classes has to be what the module takes for them; a class that was unsafe two
+        changes ago would be judged by its effect of one change ago, and repeated with no key.
+        """
+        self._former, self.classes = self.classes, classes
+        self._former_until_s = self._now_s() + FORMER_S
 
     def check(self, call: ParsedCall, head: Mapping[bytes, bytes]) -> int:
         """The status of the error that the call earns, by the classes in force or, for a while, by those
