--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -273,6 +273,7 @@
         if self._passing is not None and self._passing.on_ready is not None:
             self._passing.on_ready()
         self._next()
+        self._frontend.sort(self)
 
     # httptools
 
