--- a/tests/endings/test_front.py
+++ b/tests/endings/test_front.py
@@ -1,11 +1,12 @@
 """The end of a client's connection, and of the process, where something is still owed on it.
 
-The order is held by data put into sockets while no step of the loop runs, and by handlers that answer when told.
+The order is held by data put into sockets while no step of the loop runs, by handlers told when to answer.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -20,7 +21,7 @@
 import pytest
 
 from cloverrouter.interface import RequestArrived
-from cloverrouter.lab.peers import Discovery, Host, never, ok, running
+from cloverrouter.lab.peers import Client, Discovery, Host, never, ok, running
 from cloverrouter.lab.process import own_address
 from cloverrouter.proxy import frontend as front
 from cloverrouter.proxy.frontend import Frontend
@@ -28,7 +29,7 @@
 from cloverrouter.proxy.wake import Loop
 from tests.test_upstream import FakeCall, until
 from tests.test_wake import node_with, play, told
-from tests.test_waking_front import Held, connect, front_of, request
+from tests.test_waking_front import connect, front_of, request
 
 CLOSING = b"Connection: close\r\n"
 MUCH = b"y" * 60_000
@@ -301,7 +302,7 @@
 
 
 def test_sigterm_with_hosts_that_hang_answers_all_up_to_its_end() -> None:
-    """Clients connect for 0.4 s more and ask on whatever stays open; SIGKILL would come 1.7 s after SIGTERM."""
+    """Clients connect for 0.4 s more and ask on whatever stays open; SIGKILL would come after 1.7 s."""
 
     async def scene() -> None:
         discovery, host = await Discovery().start(), await Host("h0", never).start()
@@ -370,11 +371,16 @@
     )
     config = tmp_path / "config.json"
     listen = own_address()
+    facts = {
+        "balancers": 1,
+        "bounds": {"max_attempts": 2},
+        "categories": [{"name": "c", "aim_ms": 100, "deadline_ms": 400, "effect": "retryable"}],
+        "safety": {
+            "cold_share": 1, "cold_ms": 0, "fall_multiple": 3, "fall_ms": 1000, "must_ask_in_ms": 9000,
+        },
+    }  # fmt: skip
     config.write_text(
-        '{"name": "n0", "listen": "%s", "discovery": "127.0.0.1:9", "settings": {"balancers": 1,'
-        ' "bounds": {"max_attempts": 2}, "categories": [{"name": "c", "aim_ms": 100, "deadline_ms": 400,'
-        ' "effect": "retryable"}], "safety": {"cold_share": 1, "cold_ms": 0, "fall_multiple": 3,'
-        ' "fall_ms": 1000, "must_ask_in_ms": 9000}}}' % listen
+        json.dumps({"name": "n0", "listen": listen, "discovery": "127.0.0.1:9", "settings": facts})
     )
     environ = {**os.environ, "PROXY_CONFIG": str(config)}
     done = subprocess.run([sys.executable, "-c", code], env=environ, timeout=60, capture_output=True)
@@ -394,7 +400,7 @@
     async def scene() -> None:
         discovery, host = await Discovery().start(), await Host("h0", never).start()
         async with running(discovery, [host]) as proxy:
-            busy = []
+            busy: list[Client] = []
             while len(busy) < 12:  # until the limit is reached, and some wait
                 client = await proxy.client()
                 client.send("/unsafe")
