--- a/tests/endings/test_hosts.py
+++ b/tests/endings/test_hosts.py
@@ -1,4 +1,4 @@
-"""The end of an attempt at a server in the step in which something else ends: its answer, its time, a drain."""
+"""The end of an attempt at a server in the step in which something else ends: answer, time, drain."""
 
 from __future__ import annotations
 
--- a/tests/endings/test_settings.py
+++ b/tests/endings/test_settings.py
@@ -1,4 +1,4 @@
-"""The end of one set of settings: requests in flight keep what they came under, and nothing is left for new ones.
+"""The end of one set of settings: requests in flight keep what they came under, nothing is left over.
 
 Each setting is applied or named in the log; a file that can't be used changes nothing.
 """
@@ -7,7 +7,6 @@
 
 import asyncio
 import copy
-import json
 import time
 import tomllib
 from collections.abc import Callable
@@ -92,7 +91,7 @@
 
 
 def test_what_waits_to_be_handed_over_keeps_its_class(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Some milliseconds after a stop: found valid by the former classes, judged by the new ones of that name."""
+    """Some milliseconds after a stop: found valid by the former classes, it is judged by these."""
 
     async def scene(loop: Loop) -> None:
         node = node_with(("127.0.0.1", 9))
@@ -288,8 +287,10 @@
             if c["effect"] == "retryable":
                 head = f"GET /{c['name']} HTTP/1.1\r\nX-Request-ID: {c['name']}\r\n\r\n"
             else:
-                head = f"POST /{c['name']} HTTP/1.1\r\nX-Request-ID: {c['name']}\r\n{key}Content-Length: 0\r\n\r\n"
-            found[c["name"]] = head.encode(), 1 if c["effect"] == "fragile" else facts["bounds"]["max_attempts"]
+                head = f"POST /{c['name']} HTTP/1.1\r\nX-Request-ID: {c['name']}\r\n{key}"
+                head += "Content-Length: 0\r\n\r\n"
+            most = facts["bounds"]["max_attempts"]
+            found[c["name"]] = head.encode(), 1 if c["effect"] == "fragile" else most
         return found
 
     async def scene() -> None:
