Watch: what a call brings that is given up, or left at a former address, is still heard

Seen in its logs: after SIGHUP moved discovery at 5.7 to 9.7 s, each proxy asked for the whole list at once, and their calls ran out 2.1 s later (discovery: TimeoutError at 11.2 to 12.3 s), while discovery works through its calls in turn for up to 3 s. What it has written counts as told: Watch._call closed the connection (line.hang_up, call.cancel) in the moment in which the answer was being written, and the next call waited in turn for longer than a drain's grace.

Mend: the call that is given up keeps its connection and is heard until a newer answer has come, 6 s at most; of a former address only what is to be left counts. The test fails without it in both forms.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 from collections.abc import Callable
+from contextlib import suppress
 
 import httptools
 
@@ -21,7 +22,10 @@
 STEPS = 3  # of the loop, in which what lies here is read and handed on
 ARRIVES_S = 0.1  # for an answer that is on its way as its time is over, and for the rest of one
 STOOD_S = 0.5
+# A call that is given up is heard for so long: what a silent watch misses counts as told by then, anyway.
+LATE_S, MOST_LATE = 6.0, 2
 PUSHED_PAUSE_S = 0.1  # after a call that failed
+Call = asyncio.Task[tuple[int, bytes]]
 log = logging.getLogger(__name__)
 
 
@@ -63,7 +67,8 @@
 
     async def get(self, target: str) -> tuple[int, bytes]:
         self.heard = False
-        reader, writer = self._streams or await self._connect()
+        streams = self._streams or await self._connect()
+        reader, writer = streams
         host, port = self.address
         writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
         reply = _Reply()
@@ -75,7 +80,7 @@
             reply.parser.feed_data(data)
             if len(reply.body) > MOST_BYTES:
                 raise DiscoveryError("the answer does not end")
-        if not reply.keep:
+        if not reply.keep and self._streams is streams:
             self.hang_up()
         return reply.parser.get_status_code(), bytes(reply.body)
 
@@ -94,6 +99,11 @@
             self._streams[1].close()
             self._streams = None
 
+    def let_go(self) -> asyncio.StreamWriter | None:
+        """The next call gets a new connection, and the one that is out keeps its own; None if it has none yet."""
+        streams, self._streams = self._streams, None
+        return streams[1] if streams is not None else None
+
     def end(self) -> None:
         """There is no next call."""
         self._ended = True
@@ -124,6 +134,8 @@
         self._on_failure = on_failure
         self._wake = wake_of(asyncio.get_running_loop())
         self._task: asyncio.Task[None] | None = None
+        self._out: Call | None = None
+        self._late: list[Call] = []  # given up; what they bring is still heard
         self.asking = asking_pushed(drain_grace_s) if pushed else Asking()
         self._ledger = Ledger()
 
@@ -141,17 +153,69 @@
 
         Danger: a call that is out may go on waiting at the old address while its list grows stale.
         """
-        self.stop()
+        if self._out is not None:
+            self._keep(self._line, self._out, None)
+        self._stop()
         self._line = Line(address)
         self.asking, self._ledger = Asking(self.asking.hold_s, self.asking.grace_most_s), Ledger()
         self.start()
 
     def stop(self) -> None:
+        self._drop_late()
+        self._stop()
+
+    def _stop(self) -> None:
         task, self._task = self._task, None
         if task is not None:
             task.cancel()
         self._line.end()
 
+    def _keep(self, line: Line, call: Call, asked: Question | None) -> None:
+        """Hear what a call brings that is given up; `asked` None: at an address that is left.
+
+        Danger: what discovery has written counts as told. A service that works through its calls in turn may be
+        writing the answer as it is given up on, and the next call waits in turn for seconds.
+        """
+        writer = line.let_go()
+        if writer is None or call.done():
+            return  # nothing can come, or it is looked at in this step
+        self._late.append(call)
+        over = asyncio.get_running_loop().call_later(LATE_S, call.cancel)
+
+        def done(call: Call) -> None:
+            over.cancel()
+            writer.close()
+            if call not in self._late:
+                return
+            self._late.remove(call)
+            if not call.cancelled() and call.exception() is None and call.result()[0] == 200:
+                self._hear_late(call.result()[1], asked)
+
+        call.add_done_callback(done)
+        while len(self._late) > MOST_LATE:
+            self._late.pop(0).cancel()
+
+    def _hear_late(self, body: bytes, asked: Question | None) -> None:
+        """Nothing newer has come since. Of a former address only what is to be left counts."""
+        try:
+            message = json.loads(body)
+        except ValueError:
+            return
+        found = None
+        if asked is not None:
+            with suppress(ValueError):
+                found = read_list(message, self._clock)
+        if found is not None and asked is not None and (found.full or asked.version is not None):
+            log.info("discovery: an answer came late, and is heard")
+            self._on_list(self._ledger.take(found))
+        elif (left := read_departures(message, self._clock)) is not None:
+            self._on_list(left)
+
+    def _drop_late(self) -> None:
+        late, self._late = self._late, []
+        for call in late:
+            call.cancel()
+
     def _took_s(self, asked_s: float, ran_s: float) -> float:
         """Discovery is not late for as long as this process stood still; small gaps are part of its rhythm,
         since the time that it is given does not leave them out either."""
@@ -179,6 +243,7 @@
                 await asyncio.sleep(PUSHED_PAUSE_S)
                 continue
             took_s = self._took_s(asked_s, ran_s)
+            self._drop_late()
             self.asking.answered(asked, took_s, found.version, bool(found.entries))
             self._on_list(self._ledger.take(found))
             if not found.entries and asked.hold_s and took_s < HASTY_S:
@@ -188,7 +253,7 @@
         target = "/v1/servers"
         if asked.version is not None:
             target = f"{target}?from={asked.version}&hold_ms={asked.hold_s * 1000:.0f}"
-        call = asyncio.get_running_loop().create_task(line.get(target))
+        call = self._out = asyncio.get_running_loop().create_task(line.get(target))
         try:
             async with self._wake.patience(asked.hold_s + asked.grace_s):
                 status, body = await asyncio.shield(call)
@@ -202,10 +267,14 @@
             if not call.done() and line.heard:
                 await asyncio.wait([call], timeout=ARRIVES_S)
             if not call.done():
+                self._keep(line, call, asked)
                 raise
             status, body = call.result()
         finally:
-            call.cancel()
+            if call not in self._late:
+                call.cancel()
+            if self._out is call:
+                self._out = None
         if status != 200:
             raise DiscoveryError(f"answered {status}")
         message = json.loads(body)
--- a/tests/endings/test_watch.py
+++ b/tests/endings/test_watch.py
@@ -11,7 +11,7 @@
 
 from cloverrouter.interface import EndpointState
 from cloverrouter.lab.peers import Discovery, ok, read_message
-from cloverrouter.membership.watching import asking_pushed
+from cloverrouter.membership.watching import Asking, asking_pushed
 from cloverrouter.proxy.config import HostList, UnixClock
 from cloverrouter.proxy.discovery import ARRIVES_S, PUSHED_PAUSE_S, Watch
 from tests.test_upstream import until
@@ -178,3 +178,50 @@
     asyncio.run(scene())
 
 
+
+
+@pytest.mark.parametrize("moved", [False, True])
+def test_answer_that_is_written_as_its_call_is_given_up_is_heard(moved: bool) -> None:
+    """What discovery has written counts as told; the next call waits its turn there, for longer than a grace.
+
+    Given up for its time, or because the watch moves; the next call, wherever it is made, stays unanswered.
+    """
+
+    async def scene() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                while True:
+                    await read_message(reader)
+                    writers.append(writer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        lists: list[HostList] = []
+        failures: list[int] = []
+        watch = watch_of(port, lists, failures)
+        watch.asking = Asking(hold_s=60.0 if moved else 0.1, grace_most_s=0.1)
+        watch.resume(1)
+        watch.start()
+        await until(lambda: writers)
+        if moved:
+            watch.move(("127.0.0.1", port))
+        else:
+            await until(lambda: failures)
+            watch.start()
+        await until(lambda: len(writers) >= 2)
+        servers = [entry("h", "leaving"), entry("new", "active")]
+        told = {"version": 2, "full": False, "servers": servers}
+        writers[0].write(ok(json.dumps(told).encode()))
+        await until(lambda: lists)
+        heard = {"h": EndpointState.DRAINING}  # of a former address no more than that
+        assert states(lists[0]) == (heard if moved else {**heard, "new": EndpointState.READY})
+        watch.stop()
+        await asyncio.sleep(0.05)
+        assert not watch._late
+        server.close()
+
+    asyncio.run(scene())
