--- a/benchmarks/leavers.py
+++ b/benchmarks/leavers.py
@@ -4,7 +4,8 @@
 
 One proxy on loopback for each cell, by where the request waits and how its client leaves. A row: left, sent
 on later than 0.3 s after that, and where a server shows it, how long until the proxy gave the attempt up.
-`stays` is the check of the measurement: clients that do not leave are to be sent on. Exit code 1 if any other was.
+`stays` is the check of the measurement: clients that do not leave are to be sent on. Exit code 1 if any other
+was.
 """
 
 from __future__ import annotations
@@ -171,7 +172,8 @@
                     with suppress(OSError):
                         got = sock.recv(4096)
                         if b"X-Request-ID: c" in got:
-                            seen_s[got.split(b"X-Request-ID: ")[1].split(b"\r\n")[0].decode()] = time.monotonic()
+                            name = got.split(b"X-Request-ID: ")[1].split(b"\r\n")[0].decode()
+                            seen_s[name] = time.monotonic()
                 await asyncio.sleep(0.005)
         else:
             for _ in range(30):  # there is room now, again and again
@@ -211,7 +213,8 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else "")
     parser.add_argument("--clients", type=int, default=10)
     rows = asyncio.run(measure(parser.parse_args().clients))
-    print("| waits for | leaves by | left | sent later than 0.3 s | noticed after |\n| --- | --- | --- | --- | --- |")
+    print("| waits for | leaves by | left | sent later than 0.3 s | noticed after |")
+    print("| --- | --- | --- | --- | --- |")
     for row in rows:
         noticed = "" if row.noticed_s is None else f"{row.noticed_s * 1000:.0f} ms"
         print(f"| {row.where} | {row.how} | {row.left} | {row.late} | {noticed} |")
--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -100,7 +100,7 @@
             self._streams = None
 
     def let_go(self) -> asyncio.StreamWriter | None:
-        """The next call gets a new connection, and the one that is out keeps its own; None if it has none yet."""
+        """The next call gets a new connection, and the one that is out keeps its own; None if it has none."""
         streams, self._streams = self._streams, None
         return streams[1] if streams is not None else None
 
@@ -173,8 +173,8 @@
     def _keep(self, line: Line, call: Call, asked: Question | None) -> None:
         """Hear what a call brings that is given up; `asked` None: at an address that is left.
 
-        Danger: what discovery has written counts as told. A service that works through its calls in turn may be
-        writing the answer as it is given up on, and the next call waits in turn for seconds.
+        Danger: what discovery has written counts as told. A service that works through its calls in turn may
+        be writing the answer as it is given up on, and the next call waits in turn for seconds.
         """
         writer = line.let_go()
         if writer is None or call.done():
