Keep a peer's socket error to its own connection; end in order when decisions fail

Cause: Node.tell took any exception that came out of carrying out an action for a crash of the decisions. asyncio's write_eof raises ENOTCONN for a connection that the client has reset, and the process ended with it; the listener went on accepting while the event loop was torn down. Change: half_close answers a peer's reset by ending that connection. After a crash of the decisions themselves the listener is emptied and closed and what is owed is answered without them, within the time that SIGTERM gives (proxy/shutdown.py); exit code 1 as before. The periodic tasks start again after an error.

--- a/cloverrouter/compose.py
+++ b/cloverrouter/compose.py
@@ -7,12 +7,15 @@
 
 import asyncio
 import secrets
+from collections.abc import Callable
+from functools import partial
 from importlib import import_module
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from cloverrouter.interface import ListKind
 from cloverrouter.proxy.config import Config, HostList, StartError
+from cloverrouter.proxy.containment import Periodic
 from cloverrouter.roster import Keeper
 from cloverrouter.seams import Core, Direction
 from cloverrouter.site import Site, SiteError, check
@@ -56,7 +59,8 @@
     def __init__(self, site: Site, told: Config, node: Node) -> None:
         """Raises `StartError`."""
         self._core = core = Core(told, node, secrets.token_hex(4))
-        self._tick: asyncio.TimerHandle | None = None
+        self._errors = node.errors
+        self._tick: Periodic | None = None
         folder = Path(site.state.directory) if site.state.enabled else None
         try:
             if folder is not None:
@@ -78,32 +82,37 @@
             direction.started(frontend)
         if self._core.directions:
             self._on_tick()
+            loop = asyncio.get_running_loop()
+            self._tick = Periodic(loop, self._errors, "tick", TICK_S, self._on_tick)
 
     def reload(self) -> None:
         """SIGHUP: files that the operators may have replaced are read again; bad ones change nothing."""
-        for direction in self._core.directions:
-            direction.reload()
+        self._each("reload", lambda direction: direction.reload())
 
     def leave(self) -> None:
         """The proxy is about to end."""
-        for direction in self._core.directions:
-            direction.leave(final=False)
+        self._each("leave", lambda direction: direction.leave(final=False))
 
     def stop_taking(self) -> None:
         """From here on what comes is turned away by every front."""
-        for direction in self._core.directions:
-            direction.leave(final=True)
+        self._each("leave", lambda direction: direction.leave(final=True))
 
     def _on_tick(self) -> None:
+        self._each("tick", lambda direction: direction.tick())
+
+    def _each(self, place: str, step: Callable[[Direction], None]) -> None:
+        """Take a step of each direction; one that fails keeps neither the others nor a drain from theirs."""
         for direction in self._core.directions:
-            direction.tick()
-        self._tick = asyncio.get_running_loop().call_later(TICK_S, self._on_tick)
+            self._errors.run(place, partial(step, direction), type(direction).__name__)
 
     async def close(self) -> None:
         if self._tick is not None:
             self._tick.cancel()
         for direction in self._core.directions:
-            await direction.close()
+            try:
+                await direction.close()
+            except Exception as error:
+                self._errors.report("close", error, type(direction).__name__)
         await self._core.keeper.close()
 
 
--- a/cloverrouter/control/direction.py
+++ b/cloverrouter/control/direction.py
@@ -43,7 +43,7 @@
         node.wake.on_told = lambda text: core.event("standing", {"text": text})
         names = [cls.name for cls in settings.classes]
         book = self._book = Book(names, core.now_ms, lambda text: core.event("module", {"text": text}))
-        node.observer = frontend.observer = joined(node.observer, book)
+        node.observer = frontend.observer = joined(node.observer, book, node.errors)
         sources = Sources(
             core.told.name,
             core.boot,
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -11,11 +11,13 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import cast
 
 import httptools
 
 from cloverrouter.proxy.config import Address
+from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import MADE_AT_ONCE, room_of
 from cloverrouter.proxy.keeping import Keeping
 from cloverrouter.proxy.messages import (
@@ -29,6 +31,7 @@
     unread,
 )
 from cloverrouter.proxy.observer import Observer
+from cloverrouter.proxy.sockets import CONNECTION_ERRORS, half_close
 from cloverrouter.proxy.validity import HEALTH, Gate, Head, ParsedCall
 from cloverrouter.proxy.wake import wake_of
 
@@ -392,12 +395,21 @@
     def answer(self, call: ClientCall, status: int, body: bytes, headers: bytes) -> None:
         if self._open is not call or self._transport is None:
             return  # the client has gone
-        if call.upload is not None and not call.upload.ended:
-            self._answer_early(status, headers)
-            return
-        close = self._closing(call)
-        self._transport.write(encode(status, body, headers + self._gate.alt_svc, close))
-        self._answered(close)
+        try:
+            if call.upload is not None and not call.upload.ended:
+                self._answer_early(status, headers)
+                return
+            close = self._closing(call)
+            self._transport.write(encode(status, body, headers + self._gate.alt_svc, close))
+            self._answered(close)
+        except Exception as error:
+            self.fail("client_answer", error)
+
+    def fail(self, place: str, error: Exception) -> None:
+        """End this connection for an error that was raised while something was done for it. Whoever did that,
+        the decisions' loop or a server's connection, goes on."""
+        self._frontend.errors.report(place, error)
+        self.end()
 
     def _closing(self, call: ClientCall) -> bool:
         # In a drain what waits has been taken, too: the connection ends with the last of it.
@@ -438,6 +450,13 @@
         """A long answer, passed on as it comes."""
         if self._open is not call or self._transport is None:
             return None
+        try:
+            return self._begin_passing(self._transport, call, answer)
+        except Exception as error:
+            self.fail("client_answer_begin", error)
+            return None
+
+    def _begin_passing(self, transport: asyncio.Transport, call: ClientCall, answer: Answer) -> AnswerSink:
         chunked = answer.length is None and not call.old
         close = self._closing(call) or (answer.length is None and call.old)
         kind = b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
@@ -446,22 +465,29 @@
         if answer.length is not None:
             framing = b"Content-Length: %d\r\n" % answer.length
         end = b"Connection: close\r\n" if close else b""
-        self._transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (kind, framing, end))
-        self._transport.set_write_buffer_limits(high=PASSING_BYTES)
+        transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (kind, framing, end))
+        transport.set_write_buffer_limits(high=PASSING_BYTES)
         self._passing = Passing(self, chunked, close)
         return self._passing
 
     def pass_on(self, data: bytes) -> bool:
-        if self._transport is None:
+        if self._transport is None or self._ended:
+            return False
+        try:
+            self._transport.write(data)
+        except Exception as error:
+            self.fail("client_answer_piece", error)
             return False
-        self._transport.write(data)
         self._written += len(data)
         return not self._paused
 
     def passed(self, close: bool) -> None:
         self._passing = None
         if self._transport is not None and self._open is not None:
-            self._answered(close)
+            try:
+                self._answered(close)
+            except Exception as error:
+                self.fail("client_answer_end", error)
 
     def cut(self) -> None:
         """Danger: a client must be able to tell that this was not all: not one byte that could end it."""
@@ -501,8 +527,8 @@
         transport = self._transport
         assert transport is not None
         self._ended, self.since_s = True, self._frontend.ran_s()
-        if transport.can_write_eof():
-            transport.write_eof()
+        if not half_close(transport):
+            self._frontend.errors.counts["client_half_close"] += 1
         self._withdraw()
         self._held_back, held_back = False, self._held_back
         if held_back:
@@ -629,6 +655,7 @@
         self.gate = gate
         self.keeping = Keeping(most_kept)
         self.loop = asyncio.get_running_loop()
+        self.errors = contained_errors_of(self.loop)
         self.wake = wake_of(self.loop)
         self.behind_s = 0.0  # since when connections may wait to be taken; 0: none does
         self.held_up = False  # they wait for room
@@ -639,6 +666,7 @@
         # Those that can make room by `ClientConnection.stage`, the longest there first.
         self._yielding: tuple[dict[ClientConnection, None], ...] = ({}, {}, {}, {})
         self._adopting: set[asyncio.Task[object]] = set()
+        self._sweeping: Periodic | None = None
         self._listener: socket.socket | None = None
         self._accepted_s = 0.0  # when it last looked for connections
         self._resting = False  # it does not look for them
@@ -662,7 +690,7 @@
         listener.setblocking(False)
         self._listener = listener
         self.loop.add_reader(listener, self._accept, listener)
-        self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeping = Periodic(self.loop, self.errors, "client_sweep", SWEEP_S, self._sweep)
         host, port = listener.getsockname()[:2]
         return host, port
 
@@ -685,12 +713,13 @@
                 return True
             try:
                 sock, _peer = listener.accept()
-            except ConnectionAbortedError:
-                continue  # danger: those behind it have asked, and a drain ends the listener after this
             except (BlockingIOError, InterruptedError):
                 self.behind_s = 0.0
                 return False
-            except OSError as error:  # out of descriptors or memory: make room, and come back to it
+            except OSError as error:
+                if error.errno in CONNECTION_ERRORS:
+                    continue  # danger: those behind it have asked, and a drain ends the listener after this
+                # Out of descriptors or memory: make room, and come back to it.
                 # Danger: where it is the machine that has none left, what makes room here goes to others: one
                 # at once, and then a few in a second.
                 now_s = self.loop.time()
@@ -746,6 +775,9 @@
         except OSError as error:
             log.warning("a connection was lost while it was taken in: %s", error)
             sock.close()
+        except Exception as error:
+            self.errors.report("client_accept", error)
+            sock.close()
 
     def _rest(self, listener: socket.socket, for_s: float = SWEEP_S) -> None:
         self._resting = True
@@ -754,9 +786,15 @@
 
     def _resume(self) -> None:
         # Danger: a reader that is added again loses its turn, and nobody would seem to have waited.
-        if self._listener is not None and self._resting:
-            self._resting = False
+        if self._listener is None or not self._resting:
+            return
+        try:
             self.loop.add_reader(self._listener, self._accept, self._listener)
+        except OSError as error:  # epoll_ctl(2): no memory, or too many watches of this user
+            self.errors.report("listener_resume", error)
+            self.loop.call_later(SWEEP_S, self._resume)
+            return
+        self._resting = False
 
     def _make_room(self, gently: bool = False) -> bool:
         """Close the connection that is missed least; `gently`: none that may be about to ask."""
@@ -847,13 +885,20 @@
         asks_s = self.ran_s() - ASKS_S
         for connection in list(self._connections):
             if not spare_new or connection.stage != 2 or connection.since_s <= asks_s:
-                connection.close_idle()
+                self._contain(connection, "client_close_idle", connection.close_idle)
 
     def turn_away(self) -> None:
         """Nothing that still comes is taken: the proxy ends."""
         for connection in list(self._connections):
-            connection.turn_away()
-            connection.close_idle()
+            self._contain(connection, "client_turn_away", connection.turn_away)
+            self._contain(connection, "client_close_idle", connection.close_idle)
+
+    def _contain(self, connection: ClientConnection, place: str, step: Callable[[], object]) -> None:
+        """Take one connection's step in the name of all: an error of its own ends it, and nothing else."""
+        try:
+            step()
+        except Exception as error:
+            connection.fail(place, error)
 
     def close(self) -> None:
         """Take no more connections, and close those on which nothing is owed."""
@@ -883,5 +928,4 @@
         self._trim()
         crowded = len(self._connections) > self._most_open // 2
         for connection in list(self._connections):
-            connection.check(now_s, crowded)
-        self.loop.call_later(SWEEP_S, self._sweep)
+            self._contain(connection, "client_check", partial(connection.check, now_s, crowded))
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -30,8 +30,11 @@
     """Has the peer ended its sending, or the connection, whatever lies here unread before that? False where
     the system does not tell."""
     poller = select.poll()
-    poller.register(sock, getattr(select, "POLLRDHUP", 0))
-    return bool(poller.poll(0))
+    try:
+        poller.register(sock, getattr(select, "POLLRDHUP", 0))
+        return bool(poller.poll(0))
+    except (OSError, ValueError):  # ValueError: it is closed, and has no descriptor any more
+        return True
 
 
 class Answer(Value):
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -11,7 +11,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
-from functools import lru_cache
+from functools import lru_cache, partial
 from typing import Protocol
 
 from cloverrouter.clock import Handle, Loop
@@ -50,6 +50,7 @@
 from cloverrouter.membership.standing import Gap, by_worth
 from cloverrouter.proxy.admission import Admission
 from cloverrouter.proxy.config import Address, HostList
+from cloverrouter.proxy.containment import contained_errors_of
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.observer import Final, Observer, Tried
 from cloverrouter.proxy.upstream import Host, OnBegin, OnEnd
@@ -66,6 +67,7 @@
 # Danger: smoothed, a figure beyond belief would outweigh all that come after it.
 MOST_REPORTED = 1e6
 LONG_MS = 60_000.0  # where no class says how long
+MAY_HAVE_RUN = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.SPOILT, Outcome.CANCELLED})
 log = logging.getLogger(__name__)
 
 
@@ -166,7 +168,7 @@
 class Request:
     """A call until its answer is given and its attempts have ended."""
 
-    __slots__ = ("answered", "call", "deadline_ms", "id", "out", "trail", "tries")
+    __slots__ = ("answered", "call", "deadline_ms", "id", "may_have_run", "out", "trail", "tries")
 
     def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
         self.id = request_id
@@ -175,6 +177,7 @@
         self.tries = 0
         self.out: dict[int, Try] = {}
         self.answered = False  # or nothing is owed any more
+        self.may_have_run = False  # an attempt that was written whole ended without its answer
         self.trail: list[Tried] | None = None  # how its attempts ended, for an observer
 
 
@@ -197,6 +200,8 @@
         self.carrier = carrier
         self._subscribe = subscribe
         self._crash = crash
+        self.failed = False  # the module has raised an error, and is asked no more
+        self.errors = contained_errors_of(self._loop)
         self._addresses: dict[str, Address] = {}
         self._requests: dict[int, Request] = {}
         self._by_call: dict[Call, Request] = {}
@@ -224,7 +229,12 @@
         self.tell(Stood())
 
     def tell(self, event: Event) -> None:
-        """Hand an event to the module and carry out what it says; what that raises comes after it."""
+        """Hand an event to the module and carry out what it says; the events that this raises come after it.
+
+        After an error of the module's own nothing is handed to it any more.
+        """
+        if self.failed:
+            return
         self._events.append(event)
         if self._handling:
             return
@@ -233,13 +243,77 @@
             while self._events:
                 events = list(self._events)
                 self._events.clear()
-                for action in self._balancer.handle(self.now_ms(), events):
-                    self._carry_out(action)
+                for action in self._decide(events):
+                    self._execute(action)
+        finally:
+            self._handling = False
+        if self.failed:
+            self._settle_all()
+
+    def _decide(self, events: list[Event]) -> list[Action]:
+        """What the module says; nothing once it has failed, which ends the process."""
+        try:
+            return self._balancer.handle(self.now_ms(), events)
         except Exception as error:
             # A module that has lost its way would go on with wrong decisions for every request.
+            self.failed = True
+            self._events.clear()
             self._crash(error)
-        finally:
-            self._handling = False
+            return []
+
+    def _execute(self, action: Action) -> None:
+        """Carry an action out. An error on the way is of one request, client or server, and not of the
+        module: it ends that request and nothing else."""
+        try:
+            self._carry_out(action)
+        except Exception as error:
+            self.errors.report("action", error, action)
+            self._action_failed(action)
+
+    def _action_failed(self, action: Action) -> None:
+        """Let the module hear the end of what it has asked for, or it would wait for that for ever."""
+        match action:
+            case Send():
+                self._send_failed(action)
+            case Subscribe():
+                self.discovery_failed()
+
+    def _send_failed(self, action: Send) -> None:
+        """An attempt that raised an error as it began. How far it came is not known: it may have run."""
+        request = self._requests.get(action.request_id)
+        attempt = request.out.get(request.tries - 1) if request is not None else None
+        if attempt is not None and attempt.exchange is None:
+            self._ended(attempt, Outcome.CANCELLED, None)
+
+    # The end of the process after an error of the module's: what is owed is answered without it
+
+    def _settle_all(self) -> None:
+        for request in list(self._by_call.values()):
+            self.errors.run("settle", partial(self._settle, request), request.id)
+
+    def abandon_all(self) -> None:
+        """Wait for no server any more: the time of this process is over."""
+        for request in list(self._requests.values()):
+            for attempt in list(request.out.values()):
+                self._give_up(attempt, Outcome.CANCELLED)
+
+    def _settle(self, request: Request) -> None:
+        """Answer a request for which nothing is out any more that could bring its answer."""
+        for attempt in list(request.out.values()):
+            if attempt.exchange is None or not attempt.exchange.written:
+                self._give_up(attempt, Outcome.NOT_SENT)
+        if request.out or self._take_unanswered(request.id) is None:
+            return
+        if request.may_have_run:
+            self._reply(request, request.call.failed)
+            self._observe_end(request, Final.FAILED, None)
+        else:
+            self._reply(request, lambda: request.call.refused(0.0))
+            self._observe_end(request, Final.REFUSED, None)
+
+    def _reply(self, request: Request, reply: Callable[[], None]) -> None:
+        """Give a final answer. An error in its client's connection costs nobody else."""
+        self.errors.run("reply", reply, request.id)
 
     def _carry_out(self, action: Action) -> None:
         match action:
@@ -250,12 +324,13 @@
             case Refuse():
                 request = self._take_unanswered(action.request_id)
                 if request is not None:
-                    request.call.refused(action.retry_after_ms)
+                    call, retry_after_ms = request.call, action.retry_after_ms
+                    self._reply(request, lambda: call.refused(retry_after_ms))
                     self._observe_end(request, Final.REFUSED, action.why)
             case Fail():
                 request = self._take_unanswered(action.request_id)
                 if request is not None:
-                    request.call.failed()
+                    self._reply(request, request.call.failed)
                     self._observe_end(request, Final.FAILED, action.why)
             case Cancel():
                 request = self._requests.get(action.request_id)
@@ -302,6 +377,8 @@
     # Calls
 
     def ready(self) -> bool:
+        if self.failed:
+            return False
         return bool(self._addresses) and (self.admission is None or not self.admission.refusal())
 
     @property
@@ -329,7 +406,7 @@
     def arrived(self, call: Call) -> None:
         deadline_ms = self._deadline_ms(call) if call.late and call.upload is None else None
         if deadline_ms is None or deadline_ms <= self.now_ms() + 2000 * READS_S:  # it can't wait any more
-            self._take(call)
+            self._take_or_refuse(call)
             return
         # Danger: all that came in a gap is read at one moment, and the first to be read would have what room
         # there is. It has a few steps of the loop to be read in, and goes on by worth.
@@ -343,9 +420,22 @@
         worths = {cls.name: cls.worth for cls in self._settings.classes}
         for call in by_worth(woken, worths):
             self._ids.discard(call.request_id)
-            self._take(call)
+            self._take_or_refuse(call)
+
+    def _take_or_refuse(self, call: Call) -> None:
+        """Take a call in; one that fails to be is refused, and costs those behind it nothing."""
+        if self.errors.run("take", partial(self._take, call), call.request_id):
+            return
+        request = self._by_call.get(call)
+        if request is not None:
+            self._take_unanswered(request.id)
+            self.tell(RequestGone(request.id))
+        self.errors.run("take", partial(call.refused, 0.0), call.request_id)
 
     def _take(self, call: Call) -> None:
+        if self.failed:
+            call.refused(0.0)
+            return
         if self.admission is not None and (why := self.admission.refusal()):
             # Asked here and now, by the clock: no timer that may be late stands between this and the taking.
             call.refused(self.admission.retry_after_ms())
@@ -507,7 +597,7 @@
         if exchange is not None:
             if not exchange.written:
                 outcome = Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
-            exchange.abandon()
+            self.errors.run("attempt_abandon", exchange.abandon, attempt.host[0])
         self._ended(attempt, outcome, None)
 
     def _begin(self, attempt: Try, answer: Answer) -> AnswerSink | None:
@@ -541,8 +631,13 @@
         if self.observer is not None:
             self._observe_try(request, Tried(attempt.host[0], outcome, latency_ms), report)
         if answer is not None and outcome is Outcome.OK and self._take_unanswered(request.id) is not None:
-            request.call.served(answer)
+            call = request.call
+            self._reply(request, lambda: call.served(answer))
             self._observe_end(request, Final.SERVED, None)
+        if outcome in MAY_HAVE_RUN:
+            request.may_have_run = True
+        if self.failed and not request.answered:
+            self._settle(request)
         self._drop_if_over(request)
         sign = attempt.exchange.sign if attempt.exchange is not None else None
         self.tell(
@@ -584,12 +679,13 @@
                 self._addresses[name] = entry.address
             else:
                 self._addresses.pop(name, None)
-        self.carrier.keep_only(self._addresses.items())
+        # The module hears of the list whatever becomes of connections: a drain may be in it.
+        self.errors.run("connections_kept", lambda: self.carrier.keep_only(self._addresses.items()))
         self.tell(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
         now = ((name, self._addresses.get(name)) for name in were)
         new = {(name, address) for name, address in now if address is not None and address != were[name]}
         for host in opened_ahead(new, first, crowded(self._settings)):
-            self.carrier.open_ahead(host)
+            self.errors.run("open_ahead", partial(self.carrier.open_ahead, host), host[0])
         # Danger: a send to a host that drains, still connecting now, could go out after the grace.
         for request in list(self._requests.values()):
             for attempt in list(request.out.values()):
--- a/cloverrouter/proxy/observer.py
+++ b/cloverrouter/proxy/observer.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import NamedTuple, Protocol
 
 from cloverrouter.interface import Outcome, Why
+from cloverrouter.proxy.containment import ContainedErrors
 from cloverrouter.proxy.messages import Call
 
 
@@ -54,39 +55,43 @@
         """The module said something for the log."""
 
 
-class Both:
-    """Two observers where the seam has room for one."""
+class Observers:
+    """Several observers where the seam has room for one. What one of them raises is kept from the request
+    that it was told of, and from the others."""
 
-    def __init__(self, one: Observer, other: Observer) -> None:
-        self._observers = one, other
+    def __init__(self, observers: tuple[Observer, ...], errors: ContainedErrors) -> None:
+        self.observers = observers
+        self._errors = errors
+
+    def _each(self, call: Callable[[Observer], None]) -> None:
+        for observer in self.observers:
+            try:
+                call(observer)
+            except Exception as error:
+                self._errors.report("observer", error, type(observer).__name__)
 
     def taken(self, call: Call) -> None:
-        for observer in self._observers:
-            observer.taken(call)
+        self._each(lambda observer: observer.taken(call))
 
     def tried(self, call: Call, tried: Tried, report: tuple[float, ...] | None) -> None:
-        for observer in self._observers:
-            observer.tried(call, tried, report)
+        self._each(lambda observer: observer.tried(call, tried, report))
 
     def ended(
         self, call: Call, final: Final, why: Why | None, trail: Sequence[Tried], took_ms: float
     ) -> None:
-        for observer in self._observers:
-            observer.ended(call, final, why, trail, took_ms)
+        self._each(lambda observer: observer.ended(call, final, why, trail, took_ms))
 
     def turned_away(self, status: int) -> None:
-        for observer in self._observers:
-            observer.turned_away(status)
+        self._each(lambda observer: observer.turned_away(status))
 
     def not_taken(self, call: Call, why: str) -> None:
-        for observer in self._observers:
-            observer.not_taken(call, why)
+        self._each(lambda observer: observer.not_taken(call, why))
 
     def said(self, text: str) -> None:
-        for observer in self._observers:
-            observer.said(text)
+        self._each(lambda observer: observer.said(text))
 
 
-def joined(there: Observer | None, new: Observer) -> Observer:
-    """`new` beside the observer that is set already, if one is."""
-    return new if there is None else Both(there, new)
+def joined(there: Observer | None, new: Observer, errors: ContainedErrors) -> Observer:
+    """Return `new` beside the observers that are set already."""
+    before = there.observers if isinstance(there, Observers) else () if there is None else (there,)
+    return Observers((*before, new), errors)
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -18,24 +18,17 @@
 from cloverrouter.proxy.node import Node, longest_ms
 from cloverrouter.proxy.observer import joined
 from cloverrouter.proxy.presence import Presence
+from cloverrouter.proxy.shutdown import KILLED_S, LONGEST_S, STILL_ACCEPTING_S, drain
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop
 from cloverrouter.values import replace
 
 if TYPE_CHECKING:
-    from cloverrouter.compose import Appliance
     from cloverrouter.site import Site
 
-# After SIGTERM connections go on coming for a while: until then they are taken and served.
-STILL_ACCEPTING_S = 0.5
-POLL_S = 0.02
 KEPT_SHARE = 0.06  # of the memory is for long bodies that are held; on their way they are there twice
 LOOK_S = 0.1  # for another process of this proxy
-LAST_BYTES_S = 0.5  # for half-sent requests and answers still being read, once nothing is owed
-# The platform's: SIGKILL comes no sooner after SIGTERM than the longest deadline, or so much of it, and this.
-KILLED_S, LONGEST_S = 0.7, 3.0
-GONE_S = 0.1  # before that, this process has answered and gone
 log = logging.getLogger("cloverrouter.proxy")
 
 
@@ -61,6 +54,7 @@
     first = told
 
     def crash(error: BaseException) -> None:
+        log.critical("the decisions crashed; what is owed is answered without them", exc_info=error)
         crashes.append(error)
         stop.set()
 
@@ -160,12 +154,12 @@
         management = Management(told.clock, folder, lambda: gate.classes, lambda: gate.stopping, callers)
         management.attach(node, listed)
         listed = management.listed
-        node.observer = joined(node.observer, management.figures)
+        node.observer = joined(node.observer, management.figures, node.errors)
     if os.environ.get("PROXY_TALLY"):
         from cloverrouter.proxy.tally import EVERY_S, Tally
 
         tally = Tally(node.view, lambda: {"connections": upstream.open, "connects": upstream.connects})
-        node.observer = joined(node.observer, tally)
+        node.observer = joined(node.observer, tally, node.errors)
 
         def tell() -> None:
             tally.tell()
@@ -192,7 +186,7 @@
         text = f"PROXY_INHERITED_FD={told.inherited} is no listening socket: {error}"
         raise config.StartError(text) from error
     if management is not None and told.management is not None:
-        frontend.observer = joined(frontend.observer, management.figures)
+        frontend.observer = joined(frontend.observer, management.figures, node.errors)
         await management.listen(told.management)
     if presence is not None:
         share()
@@ -201,71 +195,22 @@
     await stop.wait()
     if appliance is not None:
         appliance.leave()
-    if not crashes:
-        longest_s = min(LONGEST_S, longest_ms(told.settings) / 1000)
-        await drain(frontend, node, told.inherited is not None, appliance, longest_s + KILLED_S)
+    if crashes:
+        watch.stop()
+    killed_s = min(LONGEST_S, longest_ms(told.settings) / 1000) + KILLED_S
+    accepting_s = 0.0 if crashes else STILL_ACCEPTING_S
+    await drain(frontend, node, told.inherited is not None, appliance, killed_s, accepting_s)
     watch.stop()
     if management is not None:
         management.close()
     if appliance is not None:
         await appliance.close()
     if crashes:
-        log.critical("the decisions crashed", exc_info=crashes[0])
+        log.critical("ends after the crash of the decisions: %s", crashes[0])
         return 1
     return 0
 
 
-async def drain(
-    frontend: Frontend,
-    node: Node,
-    succeeded: bool,
-    appliance: Appliance | None,
-    killed_s: float = float("inf"),
-) -> None:
-    """Leave without losing what was taken. Every call has a deadline, so this ends.
-
-    `succeeded`: another process takes connections from the same listening socket. `killed_s`: the platform
-    ends this process no sooner than in so many seconds.
-    """
-    loop = asyncio.get_running_loop()
-    gone_by_s = loop.time() + killed_s - GONE_S
-    # Danger: clients ask on what is open up to the process's end, and would wait past it for their answers.
-    node.leave((loop.time() + STILL_ACCEPTING_S) * 1000, gone_by_s * 1000)
-    frontend.gate.stopping = True
-    if succeeded:
-        # Danger: a request that crosses the end of its connection is turned back unheard. The other process
-        # takes all that is new; answers end the connections here, which nothing crosses.
-        frontend.stop_accepting()
-    else:
-        frontend.close_idle(spare_new=True)
-    await asyncio.sleep(STILL_ACCEPTING_S)
-    await frontend.accept_rest()
-    frontend.close()
-    if appliance is not None:
-        appliance.stop_taking()
-    while True:
-        await _settle(frontend, node, gone_by_s)
-        # What lies here unread is still taken; what has not come whole by now is not.
-        frontend.turn_away()
-        await asyncio.sleep(POLL_S)
-        if not node.busy and not (frontend.owing and loop.time() < gone_by_s):
-            return
-
-
-async def _settle(frontend: Frontend, node: Node, gone_by_s: float) -> None:
-    """Until nothing is owed, and for a while for what is half here."""
-    loop = asyncio.get_running_loop()
-    owed_s = frontend.ran_s()
-    # Danger: a client that neither finishes its request nor reads would keep the program from ending.
-    while node.busy or (frontend.busy and frontend.ran_s() < owed_s + LAST_BYTES_S):
-        if not node.busy and loop.time() >= gone_by_s:
-            return
-        if node.busy or frontend.owing:
-            owed_s = frontend.ran_s()
-        await asyncio.sleep(POLL_S)
-        frontend.close_idle(spare_new=True)
-
-
 def main(site_path: str | None = None, presence: Presence | None = None) -> int:
     """`site_path`: the operators' file; without it `PROXY_SITE` names one, or there is none."""
     logging.basicConfig(
--- /dev/null
+++ b/cloverrouter/proxy/sockets.py
@@ -0,0 +1,42 @@
+"""System calls on connections whose failure is the peer's doing, and expected.
+
+A peer may close or reset its connection between any two calls of ours. Each call here has an answer for that
+case instead of an error.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+
+# Errors of accept(2) that belong to the connection which was to be accepted: it has ended, and the next one
+# is to be tried ("Error handling" there). EPERM: a firewall forbids it.
+CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.EPROTO,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+    }
+)
+
+
+def half_close(transport: asyncio.Transport) -> bool:
+    """Send FIN behind what was written, and go on reading; False if the peer has ended the connection.
+
+    shutdown(2) fails with ENOTCONN once the peer's RST is there. Where the peer has closed its socket, RST
+    answers the bytes that are written just before, on loopback within that very call. asyncio's `write_eof`
+    lets the error through.
+    """
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
+        return False
+    return True
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -19,6 +19,7 @@
 from cloverrouter.membership.evidence import Ends
 from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.proxy.config import Address
+from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import TRIES, missing, own_lack, room_of
 from cloverrouter.proxy.messages import (
     MAX_BODY,
@@ -347,7 +348,7 @@
         if exchange is None:
             return
         if sink is not None:
-            sink.cut()
+            self._pool.upstream.errors.run("answer_cut", sink.cut, self._pool.host[0])
         if not self._received and not spoilt:
             self._pool.used(self, True)  # not a byte of an answer: it may have been gone before its use
         if not exchange.written:
@@ -370,12 +371,7 @@
         sink, self._sink = self._sink, None
         answer = self._answer(bytes(self._body))
         if sink is not None:
-            if answer.body:
-                sink.write(answer.body)
-            sink.finish()
-            if self._stuck and self._transport is not None:
-                self._stuck = False
-                self._transport.resume_reading()
+            self._finish_sink(sink, answer.body)
         if self._surplus or not self._keep or not exchange.written:
             self.abort()
         else:
@@ -383,6 +379,19 @@
         self._begin()  # an idle connection holds no answer
         exchange.end(outcome_of(answer), answer)
 
+    def _finish_sink(self, sink: AnswerSink, rest: bytes) -> None:
+        """Pass on the last of a long answer. An error of its client's connection is not this server's: the
+        attempt ends as it did, and the connection goes on."""
+        try:
+            if rest:
+                sink.write(rest)
+            sink.finish()
+        except Exception as error:
+            self._pool.upstream.errors.report("answer_end", error, self._pool.host[0])
+        if self._stuck and self._transport is not None:
+            self._stuck = False
+            self._transport.resume_reading()
+
     # httptools
 
     def on_message_begin(self) -> None:
@@ -469,19 +478,19 @@
         """An idle connection that a request may go out on."""
         now_s = self.upstream.loop.time()
         settled_s = now_s - SETTLE_S
-        for connection in reversed(self.idle):
-            if connection.idle_since <= settled_s:
-                idle_s = now_s - connection.idle_since
-                # Danger: one that has stood too long may be gone without a word; what is written to it is
-                # reset, and may have run. All others have stood for longer still.
-                if not self.ages.may_use(idle_s, repeatable):
-                    return None
-                self.idle.remove(connection)
-                if connection.clean():
-                    connection.idle_s = idle_s
-                    return connection
-                connection.abort()
-                return self.take(repeatable)
+        for connection in self.idle[::-1]:
+            if connection.idle_since > settled_s:
+                continue
+            idle_s = now_s - connection.idle_since
+            # One that has stood too long may be gone without a word; what is written to it is reset, and may
+            # have run. All others have stood for longer still.
+            if not self.ages.may_use(idle_s, repeatable):
+                return None
+            self.idle.remove(connection)
+            if connection.clean():
+                connection.idle_s = idle_s
+                return connection
+            connection.abort()
         return None
 
     def used(self, connection: Connection, broke: bool) -> None:
@@ -508,6 +517,7 @@
 
     def __init__(self, most_open: int, idle_ms: float, connect_timeout_ms: float) -> None:
         self.loop = asyncio.get_running_loop()
+        self.errors = contained_errors_of(self.loop)
         self.wake = wake_of(self.loop)
         self.buffer = memoryview(bytearray(READ_BYTES))
         self.connections: set[Connection] = set()  # that have a socket
@@ -520,7 +530,7 @@
         self.uses_seen = Uses()  # of all hosts' connections
         self.on_sign: Callable[[str, Sign], None] = lambda name, sign: None
         room_of(self.loop).makers.append(self._make_room)
-        self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeping = Periodic(self.loop, self.errors, "server_sweep", SWEEP_S, self._sweep)
 
     def retime(self, idle_ms: float, connect_timeout_ms: float) -> None:
         """From now on hosts close idle connections after `idle_ms`, and have so long to accept one."""
@@ -607,9 +617,11 @@
         self._opening.discard(task)
         exchange.opening = None
         if not task.cancelled() and (error := task.exception()) is not None:
-            # Danger: the attempt would hang until its time-out, and nobody would know why.
-            log.error("connecting failed", exc_info=error)
-            exchange.end(Outcome.CONNECT_FAILED)
+            # The attempt would hang until its time-out, and nobody would know why.
+            self.errors.report("server_connect", error)
+            # One that was handed to its connection may run: it must not be taken for one that never did.
+            exchange.end(Outcome.CANCELLED if exchange.begun else Outcome.CONNECT_FAILED)
+            exchange.abandon()
 
     async def _connect(self, pool: Pool, exchange: Exchange, call: Call | None = None) -> None:
         """`call`: what the connection is for; None: nothing yet."""
@@ -679,5 +691,5 @@
             pool.drop_idle(before)
             pool.drop_doubtful()
         for connection in [c for c in self.connections if c.stalled]:
-            connection.stall()  # danger: it would hold its client's connection for good
-        self.loop.call_later(SWEEP_S, self._sweep)
+            # It would hold its client's connection for good.
+            self.errors.run("server_stall", connection.stall, connection)
--- a/cloverrouter/proxy/wake.py
+++ b/cloverrouter/proxy/wake.py
@@ -18,6 +18,7 @@
 
 from cloverrouter.clock import now_s
 from cloverrouter.membership.standing import FRESH_S, LATE_S, TOLD_S, Cause, Gap, Standing, arrival
+from cloverrouter.proxy.containment import ContainedErrors
 from cloverrouter.proxy.descriptors import TRIES, Room, missing
 
 # `struct tcp_info` of Linux (linux/tcp.h): the state in its first byte, `tcpi_last_data_recv`, in ms, behind
@@ -175,9 +176,11 @@
     def __init__(self) -> None:
         self.wake = Wake()
         self.room = Room()
+        self.contained_errors = ContainedErrors()
         selector = _Selector(self.wake)
         super().__init__(selector)
         selector.on_late = self._late
+        self.set_exception_handler(self.contained_errors.handle_loop_error)
 
     def time(self) -> float:
         return now_s()
--- a/tests/endings/test_front.py
+++ b/tests/endings/test_front.py
@@ -25,7 +25,7 @@
 from cloverrouter.lab.process import own_address
 from cloverrouter.proxy import frontend as front
 from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.service import GONE_S, STILL_ACCEPTING_S, drain
+from cloverrouter.proxy.shutdown import GONE_S, STILL_ACCEPTING_S, drain
 from cloverrouter.proxy.wake import Loop
 from tests.test_upstream import FakeCall, until
 from tests.test_wake import node_with, play, told
--- a/tests/faults/test_client_disconnects.py
+++ b/tests/faults/test_client_disconnects.py
@@ -1,4 +1,4 @@
-"""A client's connection that ends at any moment costs the others nothing: the process, its drain, its clean-up.
+"""A client's connection that ends at any moment costs the others nothing.
 
 The process is paused while the client sends and leaves, so that both are found in one step of the loop.
 """
--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -15,7 +15,7 @@
 from cloverrouter.lab.peers import ok
 from cloverrouter.proxy import frontend as front
 from cloverrouter.proxy.frontend import ClientConnection, Frontend
-from cloverrouter.proxy.service import drain
+from cloverrouter.proxy.shutdown import drain
 from cloverrouter.proxy.validity import Gate, ParsedCall
 from cloverrouter.proxy.wake import Loop
 from tests.test_upstream import until
@@ -28,6 +28,8 @@
 class Held:
     """A handler that answers nobody until it is told to."""
 
+    failed = False
+
     def __init__(self) -> None:
         self.calls: list[Any] = []
 
