Faults: each place where a peer's error could reach others, forced in process

Contained as well: events and alarms of the operators' directions, timers of the pair and of leases (they go on after an error), connections of HTTP/3 that are settled or swept together.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
 from dataclasses import replace
+from functools import partial
 
 from aioquic.h3 import events as h3
 from aioquic.h3.connection import ErrorCode
@@ -26,6 +27,7 @@
 from cloverrouter.http3.ways import HANDSHAKES, Speech, choose, leads_nowhere
 from cloverrouter.http3.wire import Away, Http3Client, Malformed, NetworkAddress, QuicClient
 from cloverrouter.interface import Outcome, Sign
+from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import missing, room_of
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.node import Carrier as PlainCarrier
@@ -469,7 +471,8 @@
         self._idle_s = idle_ms * IDLE_SHARE / 1000
         self._lanes: dict[Host, set[Lane]] = {}
         self._ahead: set[Lane] = set()  # opened before a request needed them
-        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+        self._errors = contained_errors_of(self.loop)
+        self._sweeping = Periodic(self.loop, self._errors, "http3_server_sweep", SWEEP_S, self._sweep)
 
     @property
     def lanes(self) -> list[Lane]:
@@ -598,5 +601,5 @@
     def _sweep(self) -> None:
         now_s = self.loop.time()
         for lane in self.lanes:
-            lane.check(now_s, self._idle_s)
-        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+            if not self._errors.run("http3_server_check", partial(lane.check, now_s, self._idle_s)):
+                self._errors.run("http3_server_check", lane.close, lane.host[0])
--- a/cloverrouter/http3/front.py
+++ b/cloverrouter/http3/front.py
@@ -10,6 +10,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 from aioquic._buffer import Buffer
 from aioquic.h3 import events as h3
@@ -30,6 +31,7 @@
 from cloverrouter.http3.wire import Http3, NetworkAddress, Quic, server_settings, stateless_reset
 from cloverrouter.membership.standing import Gap
 from cloverrouter.proxy.config import Address
+from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.keeping import Keeping
 from cloverrouter.proxy.messages import Answer, AnswerSink
 from cloverrouter.proxy.observer import Observer
@@ -399,10 +401,11 @@
         self._named: dict[bytes, Connection] = {}
         self._connections: set[Connection] = set()
         self._sock: socket.socket | None = None
-        self._sweeping: asyncio.TimerHandle | None = None
+        self._sweeping: Periodic | None = None
         self._resets = 0
         self._full = False  # nobody may begin any more
         self._wake = wake_of(self.loop)
+        self._errors = contained_errors_of(self.loop)
         self._behind_s: float | None = None  # since when something is left in the socket after each read
 
     def listen(self, address: Address) -> Address:
@@ -420,7 +423,7 @@
         # Danger: a client's word that it has gone may be among what came in a gap; timers that are due, and
         # answers that lie on other sockets, would begin its attempts before it is read.
         self._wake.on_gap.insert(0, self._stood)
-        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+        self._sweeping = Periodic(self.loop, self._errors, "http3_sweep", SWEEP_S, self._sweep)
         host, port = sock.getsockname()[:2]
         return host, port
 
@@ -458,7 +461,12 @@
             if connection is not None:
                 touched[connection] = None
         for connection in touched:
-            connection.settle()
+            self._contain(connection, "http3_settle", connection.settle)
+
+    def _contain(self, connection: Connection, place: str, step: Callable[[], object]) -> None:
+        """Take one connection's step in the name of all: an error of its own ends it, and nothing else."""
+        if not self._errors.run(place, step):
+            self._errors.run(place, connection.close)
 
     def send(self, data: bytes, address: NetworkAddress) -> None:
         if self._sock is None:
@@ -575,7 +583,7 @@
     def leave(self, final: bool) -> None:
         self._full = self._full or (final and self.gate.stopping)
         for connection in list(self._connections):
-            connection.leave(final)
+            self._contain(connection, "http3_leave", partial(connection.leave, final))
 
     async def close(self) -> None:
         """End: what is answered has a moment to go out."""
@@ -599,5 +607,5 @@
         crowded = len(self._connections) > self.doors.most // 2
         handshake_s = self.doors.handshake_s(len(self._connections), self._unproven)
         for connection in list(self._connections):
-            connection.check(now_s, crowded, handshake_s)
-        self._sweeping = self.loop.call_later(SWEEP_S, self._sweep)
+            check = partial(connection.check, now_s, crowded, handshake_s)
+            self._contain(connection, "http3_check", check)
--- a/cloverrouter/leases/shell.py
+++ b/cloverrouter/leases/shell.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -19,6 +20,7 @@
 from cloverrouter.leases.wire import ANSWERS, FLEET, REQUESTS, answer_of, request_of, written
 from cloverrouter.leases.words import MOST_ROOM, Answer, Grant, Request
 from cloverrouter.post import Post, SocketAddress
+from cloverrouter.proxy.containment import contained_errors_of
 from cloverrouter.rights import Terms
 from cloverrouter.seams import Right
 
@@ -55,6 +57,7 @@
         alarm: Callable[[str, str | None], None] = lambda name, text: None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._errors = contained_errors_of(self._loop)
         self.name, self.life, self._terms = name, life, terms
         self._weights = dict.fromkeys(voters, 1)
         self._changed, self._alarm = changed, alarm
@@ -172,9 +175,14 @@
 
     def _on_time(self) -> None:
         self._timer = None
-        for claim in list(self.claims.values()):
-            self._carry_out(claim, claim.tick(now_ms()))
-        self._set_timer()
+        try:
+            for claim in list(self.claims.values()):
+                self._errors.run("lease_tick", partial(self._tick, claim), claim.task)
+        finally:
+            self._set_timer()
+
+    def _tick(self, claim: Claim) -> None:
+        self._carry_out(claim, claim.tick(now_ms()))
 
     def _carry_out(self, claim: Claim, said: list[Say]) -> None:
         for one in said:
--- a/cloverrouter/seams.py
+++ b/cloverrouter/seams.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
@@ -206,7 +207,8 @@
 
     def event(self, kind: str, what: Json) -> None:
         for hear in self.hear:
-            hear(kind, what)
+            # Whoever tells of an event is in the middle of its own work, and others want to hear it, too.
+            self.node.errors.run("event", partial(hear, kind, what), kind)
 
     def take(self, frontend: Frontend, taking: bool) -> None:
         """From here on this proxy takes work, or leaves it to another: then its clients are to move."""
--- a/cloverrouter/vrrp/packet.py
+++ b/cloverrouter/vrrp/packet.py
@@ -101,9 +101,7 @@
         raise BadPacket(Fault.CHECKSUM)
     if vrid == 0:
         raise BadPacket(Fault.VRID)
-    addresses = tuple(
-        ip_address(data[place : place + size]) for place in range(HEAD.size, len(data), size)
-    )
+    addresses = tuple(ip_address(data[place : place + size]) for place in range(HEAD.size, len(data), size))
     # The four reserved bits are ignored on receipt (section 5.2.6).
     return Advertisement(vrid, priority, interval & 0x0FFF, addresses)
 
--- a/cloverrouter/vrrp/shell.py
+++ b/cloverrouter/vrrp/shell.py
@@ -153,6 +153,12 @@
         self._carry_out(self.pair.heard(now_ms(), self._shape.peer, heard))
 
     def _carry_out(self, out: list[Out]) -> None:
+        try:
+            self._carry_out_each(out)
+        finally:
+            self._schedule()  # with no timer the box would neither renew nor give up its lease
+
+    def _carry_out_each(self, out: list[Out]) -> None:
         # Danger: once a release is on its way, the other box may take. Looked at after the sending, a pause
         # in between would have the log say that both took at once.
         self._look()
@@ -170,7 +176,6 @@
                 self.post.send(action.target, Kind.ADVERTISEMENT, data)
             else:
                 self.post.send(action.target, *encode_lease(action.message))
-        self._schedule()
 
     def _look(self) -> None:
         """Has taking begun or ended?"""
