Check every figure and name of lists and settings where it is read

A list with a server id that holds half of a surrogate pair (UnicodeEncodeError in rings.ring_key), or with weights that add up to infinity (OverflowError in Rings._weigh), ended the process; so did servers that all weigh 0 in a fleet of many proxies (ZeroDivisionError in Flow.ended), and settings read at SIGHUP whose figures are texts, null, NaN or huge. Change: config.py checks type and range of every figure, with its place in the message; a setting that is null counts as left out where it has a default. Weights that are all 0 count as one each. A file that can't be used at the start is told of in one line (exit code 2) whatever is wrong with it.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -91,6 +91,7 @@
 # the servers, about what keeps a core busy; it never falls under this part of that.
 FLOW_START = 3.0
 FLOW_LEAST = 0.1
+FLOW_FLOOR = 0.001  # a pause is counted by no smaller limit
 # It is a guess at a part of the fleet that others may not use: from one on each answer adds up to so much of
 # an attempt, less as strain nears one; below one it is sought in large steps. What a few need may be saved.
 FLOW_GROWTH, FLOW_SEEKS, FLOW_SAVED = 0.5, 1.5, 3.0
@@ -489,9 +490,10 @@
         self.closed_until_ms = float("-inf")
         self.bound = False  # something found no room since the last attempt ended
 
-    def resize(self, weight: float) -> None:
-        """The servers known now weigh this much together."""
-        self.start = FLOW_START * weight / self._proxies
+    def resize(self, weight: float, count: int = 0) -> None:
+        """The servers known now weigh this much together. Where all weigh nothing, that tells nothing of what
+        they can take: each counts as one."""
+        self.start = FLOW_START * (weight or count) / self._proxies
         self.least = FLOW_LEAST * self.start
         self.limit = max(self.limit, self.least) if self.limit else self.start
 
@@ -519,7 +521,7 @@
         if self.limit < 1:
             # Danger: with a pause behind each, whoever asks twice in a row is refused, while those who do not
             # ask leave their parts unused. What was not needed is kept, for a few attempts.
-            part_ms = usual_ms / self.limit
+            part_ms = usual_ms / max(FLOW_FLOOR, self.limit)
             saved_from_ms = now_ms - usual_ms - FLOW_SAVED * part_ms
             self.closed_until_ms = max(self.closed_until_ms, saved_from_ms) + part_ms
 
@@ -701,7 +703,7 @@
 
     def _on_list(self, event: EndpointsListed) -> None:
         began, left = self.membership.update(event)
-        self.flow.resize(self.membership.rings.weight)
+        self.flow.resize(self.membership.rings.weight, self.membership.rings.count)
         if event.kind is not ListKind.FAILED:
             self.membership.fleet.told_ms = self.now_ms
         if event.kind is not ListKind.RESTORED:
--- a/cloverrouter/membership/rings.py
+++ b/cloverrouter/membership/rings.py
@@ -23,7 +23,7 @@
 
 
 def ring_key(name: str) -> Key:
-    return crc32(name.encode()), name
+    return crc32(name.encode(errors="surrogatepass")), name
 
 
 class Server(Protocol):
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -11,7 +11,6 @@
 import time
 import zlib
 from collections.abc import Mapping
-from math import isfinite
 from typing import Any, TypeVar
 
 from cloverrouter.clock import now_s
@@ -49,6 +48,10 @@
     ("settings", "zone"), ("settings", "balancers"), ("settings", "ordinal"), ("settings", "discovery"),
 )  # fmt: skip
 CLIENTS_SHARE = 1 / 3  # of the descriptors at most are held by clients for requests
+MOST = 1e15  # no figure is larger, and sums and products of some such are exact enough
+MOST_WHOLE = 2.0**63  # nor version, cell or time of a start
+LEAST_MS = 0.001  # of times that others are divided by
+MOST_PROXIES = 1_000_000
 NO_VERSION = -1  # of a list that can't be gone on from
 log = logging.getLogger(__name__)
 
@@ -60,58 +63,76 @@
 # Settings
 
 
-def read_class(facts: Json) -> RequestClass:
+def read_class(facts: Json, path: str = "categories[]") -> RequestClass:
     return RequestClass(
         name=_text(facts["name"]),
-        aim_ms=_number(float, facts["aim_ms"]),
-        deadline_ms=_number(float, facts["deadline_ms"]),
-        worth=facts.get("worth", 1.0),
-        late_worth=facts.get("late_worth", 0.0),
-        aim_stretch=facts.get("aim_stretch", 0.0),
+        aim_ms=_field(float, facts, path, "aim_ms", least=LEAST_MS),
+        deadline_ms=_field(float, facts, path, "deadline_ms", least=LEAST_MS),
+        worth=_field(float, facts, path, "worth", 1.0),
+        late_worth=_field(float, facts, path, "late_worth", 0.0),
+        aim_stretch=_field(float, facts, path, "aim_stretch", 0.0, least=0.0),
         idempotency=IDEMPOTENCY[facts["effect"]],
         repeat_scope=RepeatScope(facts.get("group", "all")),
-        repeat_window_ms=facts.get("window_ms", 0.0),
-        streamed=facts.get("stream", False),
+        repeat_window_ms=_field(float, facts, path, "window_ms", 0.0, least=0.0),
+        streamed=_flag(facts, path, "stream"),
     )
 
 
 def read_settings(facts: Json, most_open: int = 0) -> Settings:
-    """`most_open`: the requests that clients have connections for; 0 where there are no connections."""
-    bounds, safety, prices = facts["bounds"], facts["safety"], facts.get("prices", {})
+    """`most_open`: the requests that clients have connections for; 0 where there are no connections.
+
+    Every figure is checked here. Danger: one of another type or size would be found out by the decisions,
+    in the middle of a request, and end the process.
+    """
     return Settings(
-        classes=tuple(read_class(c) for c in facts["categories"]),
-        zone=facts.get("zone", ""),
-        proxies=facts["balancers"],
-        number=facts.get("ordinal"),
+        classes=tuple(read_class(c, f"categories[{i}]") for i, c in enumerate(facts["categories"])),
+        zone=_text(facts.get("zone", "")),
+        proxies=_field(int, facts, "", "balancers", least=1, most=MOST_PROXIES),
+        number=None if facts.get("ordinal") is None else _field(int, facts, "", "ordinal", least=0),
         subscribe=facts.get("discovery") == "subscribe",
-        report_fields=tuple(facts.get("reporting", {}).get("fields", ())),
+        report_fields=tuple(_text(name) for name in facts.get("reporting", {}).get("fields", ())),
         worth_by_work=facts.get("counted_by") == "work",
-        limits=Limits(
-            max_attempts=_whole(bounds["max_attempts"]),
-            parallel_attempts=bounds.get("parallel_tries", False),
-            cancel=bounds.get("cancel", False),
-            probes=bounds.get("probes", False),
-            retry_after=bounds.get("retry_after", False),
-            max_retry_after_ms=bounds.get("max_retry_after_ms", 0.0),
-            connect_timeout_ms=bounds.get("connect_timeout_ms", 250.0),
-            max_open=min(bounds.get("max_open", 0) or most_open, most_open),
-        ),
-        safety=Safety(
-            cold_share=safety["cold_share"],
-            cold_ms=safety["cold_ms"],
-            push_multiple=safety["fall_multiple"],
-            push_window_ms=safety["fall_ms"],
-            must_ask_ms=safety["must_ask_in_ms"],
-            drain_grace_ms=_number(float, safety.get("drain_grace_ms", 1000.0)),
+        limits=_read_limits(facts["bounds"], most_open),
+        safety=_read_safety(facts["safety"]),
+        prices=_read_prices(facts.get("prices", {})),
+        tenants=tuple(
+            Tenant(_text(t["name"]), _field(float, t, f"projects[{i}]", "quota_per_s", least=0.0))
+            for i, t in enumerate(facts.get("projects", ()))
         ),
-        prices=Prices(
-            cross_zone=prices.get("cross_zone", 0.0),
-            probe=prices.get("probe", 0.0),
-            waste=prices.get("waste", 0.0),
-            late_fail=prices.get("late_fail", 0.0),
-        ),
-        tenants=tuple(Tenant(t["name"], t["quota_per_s"]) for t in facts.get("projects", ())),
-        over_quota_worth=facts.get("over_share_worth", 1.0),
+        over_quota_worth=_field(float, facts, "", "over_share_worth", 1.0),
+    )
+
+
+def _read_limits(bounds: Json, most_open: int) -> Limits:
+    return Limits(
+        max_attempts=_whole(bounds["max_attempts"]),
+        parallel_attempts=_flag(bounds, "bounds", "parallel_tries"),
+        cancel=_flag(bounds, "bounds", "cancel"),
+        probes=_flag(bounds, "bounds", "probes"),
+        retry_after=_flag(bounds, "bounds", "retry_after"),
+        max_retry_after_ms=_field(float, bounds, "bounds", "max_retry_after_ms", 0.0, least=0.0),
+        connect_timeout_ms=_field(float, bounds, "bounds", "connect_timeout_ms", 250.0, least=LEAST_MS),
+        max_open=min(_field(int, bounds, "bounds", "max_open", 0, least=0) or most_open, most_open),
+    )
+
+
+def _read_safety(safety: Json) -> Safety:
+    return Safety(
+        cold_share=_field(float, safety, "safety", "cold_share"),
+        cold_ms=_field(float, safety, "safety", "cold_ms", least=0.0),
+        push_multiple=_field(float, safety, "safety", "fall_multiple"),
+        push_window_ms=_field(float, safety, "safety", "fall_ms"),
+        must_ask_ms=_field(float, safety, "safety", "must_ask_in_ms", least=0.0),
+        drain_grace_ms=_field(float, safety, "safety", "drain_grace_ms", 1000.0, least=0.0),
+    )
+
+
+def _read_prices(prices: Json) -> Prices:
+    return Prices(
+        cross_zone=_field(float, prices, "prices", "cross_zone", 0.0),
+        probe=_field(float, prices, "prices", "probe", 0.0),
+        waste=_field(float, prices, "prices", "waste", 0.0),
+        late_fail=_field(float, prices, "prices", "late_fail", 0.0),
     )
 
 
@@ -158,10 +179,10 @@
     listed = ListedEndpoint(
         name=_text(entry["id"]),
         zone=_text(entry.get("zone", "")),
-        cell=_number(int, entry.get("cell", 0)),
+        cell=_number(int, entry.get("cell", 0), -MOST_WHOLE, MOST_WHOLE),
         weight=_number(float, entry.get("weight", 1.0)),
         state=state,
-        started_ms=clock.monotonic_ms(_number(float, entry.get("started_ms", 0))),
+        started_ms=clock.monotonic_ms(_number(float, entry.get("started_ms", 0), -MOST_WHOLE, MOST_WHOLE)),
     )
     return HostEntry(listed, None if state is EndpointState.GONE else read_address(entry["addr"]))
 
@@ -174,7 +195,8 @@
     """
     try:
         entries = tuple(_same(read_entry(entry, clock), known) for entry in message["servers"])
-        found = HostList(_number(int, message["version"]), message["full"] is True, entries)
+        version = _number(int, message["version"], -MOST_WHOLE, MOST_WHOLE)
+        found = HostList(version, message["full"] is True, entries)
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"not a list of hosts: {error!r}") from error
     if known is not None:
@@ -242,18 +264,50 @@
 
 def _text(value: Any) -> str:
     if not isinstance(value, str):
-        raise ValueError(f"not a text: {value!r}")
+        raise ValueError(f"not a text: {value!r:.120}")
+    try:
+        value.encode()
+    except UnicodeEncodeError:  # half of a surrogate pair, which JSON can name and nothing can write
+        raise ValueError(f"not a text that can be written: {value!r:.120}") from None
     return value
 
 
-def _number(kind: type[N], value: Any) -> N:
-    """Python's JSON also reads NaN and Infinity, which would spread through every figure they touch."""
+def _number(kind: type[N], value: Any, least: float = -MOST, most: float = MOST) -> N:
+    """Python's JSON also reads NaN, Infinity and whole numbers of any length, which would spread through
+    every figure they touch, or raise an error there."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"not a number: {value!r:.120}")
+    if not least <= value <= most:  # nor is NaN
+        raise ValueError(f"not a number from {least:g} to {most:g}: {value!r:.120}")
+    return kind(value)
+
+
+def _field(
+    kind: type[N],
+    facts: Json,
+    path: str,
+    key: str,
+    default: N | None = None,
+    least: float = -MOST,
+    most: float = MOST,
+) -> N:
+    """The number at `key`; `default` where there is none, or null. Raises ValueError with its place."""
+    if default is not None and facts.get(key) is None:
+        return default
     try:
-        if not isinstance(value, bool) and isinstance(value, int | float) and isfinite(value):
-            return kind(value)
-    except OverflowError:  # a whole number of hundreds of digits
-        pass
-    raise ValueError(f"not a number: {value!r:.120}")
+        return _number(kind, facts[key], least, most)
+    except ValueError as error:
+        place = f"{path}.{key}" if path else key
+        raise ValueError(f"{place}: {error}") from None
+
+
+def _flag(facts: Json, path: str, key: str) -> bool:
+    value = facts.get(key)
+    if value is None:
+        return False
+    if value not in (True, False):
+        raise ValueError(f"{path}.{key}: {value!r:.120}; right is true or false")
+    return bool(value)
 
 
 def _whole(value: Any) -> int:
@@ -366,25 +420,26 @@
 
 def read_idle_ms(facts: Json) -> float:
     """For how long a host keeps a connection that stands idle."""
-    return _number(float, facts["bounds"].get("conn_idle_ms", DEFAULT_IDLE_MS))
+    return _field(float, facts["bounds"], "bounds", "conn_idle_ms", DEFAULT_IDLE_MS, least=0.0)
 
 
 def load(environ: Mapping[str, str]) -> Config:
-    """Raises KeyError, ValueError or OSError when the program can't start with what it was told."""
+    """Raises KeyError, ValueError, TypeError, AttributeError or OSError when the program can't start with
+    what it was told."""
     told = _read_file(environ)
     facts, clock = told["settings"], UnixClock()
     management = environ.get("PROXY_MANAGEMENT") or told.get("management")
     inherited = environ.get("PROXY_INHERITED_FD")
     limits = told.get("limits", {})
-    sockets = int(limits.get("sockets", DEFAULT_SOCKETS))
+    sockets = _field(int, limits, "limits", "sockets", DEFAULT_SOCKETS, least=0)
     return Config(
         told={**told, "known": None},
-        name=environ.get("PROXY_NAME") or told["name"],
+        name=_text(environ.get("PROXY_NAME") or told["name"]),
         listen=read_address(environ.get("PROXY_LISTEN") or told["listen"]),
         discovery=read_address(environ.get("PROXY_DISCOVERY") or told["discovery"]),
         seed=read_seed(told.get("seed", 0)),
         sockets=sockets,
-        memory_mb=_number(float, limits.get("memory_mb", DEFAULT_MEMORY_MB)),
+        memory_mb=_field(float, limits, "limits", "memory_mb", DEFAULT_MEMORY_MB, least=0.0),
         conn_idle_ms=read_idle_ms(facts),
         settings=read_settings(facts, int(sockets * CLIENTS_SHARE)),
         known=read_known(told.get("known"), clock),
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -228,7 +228,7 @@
             from cloverrouter import compose
 
             site = compose.read_site(site_path)
-    except (KeyError, ValueError, OSError) as error:
+    except Exception as error:  # whatever is wrong with a file
         log.critical("no usable configuration: %s: %s", type(error).__name__, error)
         return 2
     try:
