Simulations contain no error, and tests fail on one that nobody expected

Cause: a run of the whole suite failed tests/lab/test_stops.py and test_experiments.py: the lab's monitors raise their verdict through the node's actions, where it was contained now, and was told of later by another rule or not at all.

--- a/cloverrouter/lab/hollow.py
+++ b/cloverrouter/lab/hollow.py
@@ -33,6 +33,7 @@
 from cloverrouter.membership.standing import Gap
 from cloverrouter.proxy import config, discovery
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_seed, read_settings
+from cloverrouter.proxy.containment import UncontainedErrors
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.node import LagMeter, Node
 from cloverrouter.proxy.upstream import Host
@@ -143,6 +144,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.time = loop.time
+        self.contained_errors = UncontainedErrors()
         self._loop = loop
 
     def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Handle:
--- a/cloverrouter/lab/peers.py
+++ b/cloverrouter/lab/peers.py
@@ -269,8 +269,12 @@
     environ: dict[str, str] | None = None,
     more: dict[str, Any] | None = None,
     inherit: tuple[int, ...] = (),
+    contains: bool = False,
 ) -> AsyncIterator[Proxy]:
-    """The program with these hosts, up and answering. `more` goes into its file; `inherit`: descriptors."""
+    """The program with these hosts, up and answering. `more` goes into its file; `inherit`: descriptors.
+
+    Raises RuntimeError if its log tells of an error that nobody expected, unless it may (`contains`).
+    """
     discovery.entries.update({host.name: host.entry() for host in hosts})
     told = {"name": "n0", "listen": own_address(), "discovery": f"127.0.0.1:{discovery.port}", "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
@@ -285,6 +289,8 @@
             yield proxy
         finally:
             proxy.close()
+        if not contains and " error_contained " in proxy.log():
+            raise RuntimeError(f"{proxy.name} contained an error:\n{proxy.log()}")
 
 
 @dataclass
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -18,6 +18,7 @@
 from cloverrouter.membership.idling import IdleAges, Uses
 from cloverrouter.membership.watching import Asking, Ledger, Question
 from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.proxy.containment import UncontainedErrors
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.observer import Final, Tried
@@ -47,6 +48,7 @@
     def __init__(self, engine: Engine) -> None:
         self._engine = engine
         self.wake = Wake()
+        self.contained_errors = UncontainedErrors()
         self.from_s: float | None = None  # since when it stands
         self._came: list[tuple[Callable[..., object], tuple[Any, ...]]] = []
         self._due: list[tuple[Timer, Callable[..., object], tuple[Any, ...]]] = []
--- a/cloverrouter/proxy/containment.py
+++ b/cloverrouter/proxy/containment.py
@@ -70,6 +70,13 @@
             log.error("loop_error message=%r", message)
 
 
+class UncontainedErrors(ContainedErrors):
+    """Contain nothing: for simulations, in which each error, and each verdict of a monitor, ends the run."""
+
+    def report(self, place: str, error: BaseException, detail: object = "") -> None:
+        raise error
+
+
 def contained_errors_of(loop: object) -> ContainedErrors:
     """Return the loop's own; a new one where it has none."""
     found = getattr(loop, "contained_errors", None)
--- a/tests/faults/test_containment.py
+++ b/tests/faults/test_containment.py
@@ -45,6 +45,7 @@
 from tests.test_waking_front import connect, front_of
 
 CLOSE = "Connection: close\r\n"
+pytestmark = pytest.mark.usefixtures("errors_may_be_contained")
 
 
 def boom(*told: object, **named: object) -> Any:
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -125,7 +125,7 @@
         plan = Path(folder) / "plan.json"
         plan.write_text("[]")
         environ = {"PROXY_FAULTS": str(plan)}
-        async with running(discovery, hosts, command=COMMAND, environ=environ) as proxy:
+        async with running(discovery, hosts, command=COMMAND, environ=environ, contains=True) as proxy:
             yield Faulty(proxy, plan, hosts)
 
 
