--- a/tests/faults/test_containment.py
+++ b/tests/faults/test_containment.py
@@ -34,6 +34,7 @@
 from cloverrouter.proxy.containment import ContainedErrors, Periodic
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import ClientConnection, Frontend
+from cloverrouter.proxy.messages import Answer
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.observer import Final, Observer, joined
 from cloverrouter.proxy.upstream import Pool, Upstream
@@ -89,6 +90,48 @@
     play(scene)
 
 
+class RaisingTransport:
+    """A client's transport whose `write` raises an error that no socket makes."""
+
+    def __init__(self, real: asyncio.Transport) -> None:
+        self._real = real
+
+    def write(self, data: bytes) -> None:
+        boom()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._real, name)
+
+
+@pytest.mark.parametrize("written", ["answer", "begin", "piece", "end"])
+def test_write_that_raises_ends_its_connection_and_nothing_else(written: str) -> None:
+    """What the answer comes from, a server's connection or the decisions' loop, hears of no error."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        clients = [connect(address, asking_last(name)) for name in ("r0", "r1")]
+        await until(lambda: len(held.calls) == 2)
+        call, other = held.calls
+        connection = call._client
+        head = Answer(200, b"", b"", False, None, length=None)
+        sink = None if written in ("answer", "begin") else call.begin(head)
+        connection._transport = RaisingTransport(connection._transport)
+        if written == "answer":
+            call.reply(200, b"done")
+        elif written == "begin":
+            assert call.begin(head) is None
+        elif written == "piece":
+            assert not sink.write(b"piece")
+        else:
+            sink.finish()
+        await until(lambda: frontend.count == 1)
+        other.reply(200, b"done")
+        assert (await loop.sock_recv(not_blocking(clients[1]), 1000)).endswith(b"done")
+        assert frontend.errors.counts.total() == 1
+
+    play(scene)
+
+
 async def half_sent(frontend: Frontend, address: tuple[str, int], count: int) -> list[socket.socket]:
     """Clients whose requests have begun, the last of which stays."""
     clients = [connect(address, b"POST /unsafe HTTP/1.1\r\nX-Re") for _ in range(count)]
