--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -485,10 +485,7 @@
     def passed(self, close: bool) -> None:
         self._passing = None
         if self._transport is not None and self._open is not None:
-            try:
-                self._answered(close)
-            except Exception as error:
-                self.fail("client_answer_end", error)
+            self._answered(close)
 
     def cut(self) -> None:
         """Danger: a client must be able to tell that this was not all: not one byte that could end it."""
