Tell operators of contained errors: ctl status, console, tallies

Change: counts by place, clients that reset their connection as the last answer was written among them.

--- a/cloverrouter/console/text.py
+++ b/cloverrouter/console/text.py
@@ -205,6 +205,12 @@
     return [f"stood still {told['times']} times, {told['s']:.1f} s in all; the longest {how}"]
 
 
+def contained_lines(told: Json) -> list[str]:
+    """Errors that were kept to one request or connection, by place; nothing if there was none."""
+    counts = ", ".join(f"{plain(place)} {count}" for place, count in sorted(told.items()))
+    return [f"errors contained: {counts}"] if counts else []
+
+
 def answer_lines(do: str, result: Json, now_ms: float) -> list[str]:
     """Any command's result as text."""
     match do:
@@ -213,6 +219,7 @@
                 f"{plain(result['name'])}: up {span(result['uptime_s'])}",
                 summary(result),
                 *standing_lines(result.get("standing", {})),
+                *contained_lines(result.get("contained_errors", {})),
                 *(f"ALARM: {plain(text)}" for text in result["alarms"]),
             ]
         case "servers":
--- a/cloverrouter/control/direction.py
+++ b/cloverrouter/control/direction.py
@@ -58,6 +58,7 @@
             lambda: frontend.gate.stopping,
             self._alarms,
             node.wake.told,
+            lambda: dict(node.errors.counts),
             lambda: self._status(frontend)["pair"],
             settings.report_fields,
             book,
--- a/cloverrouter/control/tell.py
+++ b/cloverrouter/control/tell.py
@@ -46,6 +46,7 @@
     stopping: Callable[[], bool]
     alarms: Callable[[], list[str]]
     standing: Callable[[], Json]  # how often and for how long this process stood still
+    contained_errors: Callable[[], dict[str, int]]  # that were kept to one connection or request, by place
     pair: Callable[[], Json | None]  # the role of a box of a pair; None: it is none
     report_fields: tuple[str, ...]
     book: Book
@@ -90,6 +91,7 @@
         "discovery": "lost" if view.discovery_lost else "well",
         "alarms": alarms,
         "standing": sources.standing(),
+        "contained_errors": sources.contained_errors(),
         "pair": sources.pair(),
         "last_event": sources.events.last,
         **totals(sources),
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -13,6 +13,7 @@
 from cloverrouter.interface import ListKind
 from cloverrouter.proxy import config, descriptors, logs
 from cloverrouter.proxy.config import Config, HostList
+from cloverrouter.proxy.containment import Periodic
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.node import Node, longest_ms
@@ -159,14 +160,17 @@
     if os.environ.get("PROXY_TALLY"):
         from cloverrouter.proxy.tally import EVERY_S, Tally
 
-        tally = Tally(node.view, lambda: {"connections": upstream.open, "connects": upstream.connects})
-        node.observer = joined(node.observer, tally, node.errors)
-
-        def tell() -> None:
-            tally.tell()
-            loop.call_later(EVERY_S, tell)
+        def counted() -> dict[str, int]:
+            contained = node.errors.counts.total()
+            return {
+                "connections": upstream.open,
+                "connects": upstream.connects,
+                "contained_errors": contained,
+            }
 
-        loop.call_later(EVERY_S, tell)
+        tally = Tally(node.view, counted)
+        node.observer = joined(node.observer, tally, node.errors)
+        Periodic(loop, node.errors, "tally", EVERY_S, tally.tell)
     if told.known is not None:
         watch.resume(told.known.version, told.known.entries)
         listed(ListKind.RESTORED, told.known)
--- a/tests/faults/test_client_disconnects.py
+++ b/tests/faults/test_client_disconnects.py
@@ -11,7 +11,9 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from cloverrouter.console.text import answer_lines
 from cloverrouter.lab.peers import Discovery, Host, Proxy, Seen, ok, running
+from tests.standins.appliance import boxed
 
 ANSWER_DELAY_S = 0.6
 CLOSE = "Connection: close\r\n"
@@ -63,3 +65,20 @@
             assert proxy.up, proxy.log()
 
     asyncio.run(scene())
+
+
+def test_resets_by_clients_are_counted_for_operators() -> None:
+    async def scene() -> None:
+        hosts = [await Host("h0", answer_slowly).start()]
+        async with boxed(hosts) as (box, proxy, _):
+            async with paused(proxy):
+                for i in range(8):
+                    client = socket.create_connection(proxy.endpoint)
+                    client.sendall(request(f"r{i}", timeout_ms=1, extra=CLOSE))
+                    client.close()
+            line = await box.line()
+            status = await line.result("status")
+            assert status["contained_errors"] == {"client_half_close": 8}
+            assert "errors contained: client_half_close 8" in answer_lines("status", status, 0.0)
+
+    asyncio.run(scene())
