Signals in the first steps and the last ones of a process change neither start nor exit

SIGHUP while the program loads ended it; between the reading of the file and the loop it was ignored, and the new configuration not read.

--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import signal
 import sys
 import threading
 import time
@@ -48,6 +49,8 @@
 
 
 def main() -> int:
+    # Its default action would end the process while it loads; `service.main` remembers it from its start on.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     presence = None
     # Danger: what is loaded stays for good, and the collector would walk through it again and again.
     gc.disable()
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -7,11 +7,10 @@
 import os
 import resource
 import signal
-import sys
 from typing import TYPE_CHECKING
 
 from cloverrouter.interface import ListKind
-from cloverrouter.proxy import config, descriptors, logs
+from cloverrouter.proxy import config, descriptors, logs, signals
 from cloverrouter.proxy.config import Config, HostList
 from cloverrouter.proxy.containment import Periodic
 from cloverrouter.proxy.discovery import Watch
@@ -20,6 +19,7 @@
 from cloverrouter.proxy.observer import joined
 from cloverrouter.proxy.presence import Presence
 from cloverrouter.proxy.shutdown import KILLED_S, LONGEST_S, STILL_ACCEPTING_S, drain
+from cloverrouter.proxy.signals import EarlySignals
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop
@@ -41,10 +41,13 @@
         return descriptors.AT_START
 
 
-async def serve(told: Config, site: Site | None = None, presence: Presence | None = None) -> int:
+async def serve(
+    told: Config, early: EarlySignals, site: Site | None = None, presence: Presence | None = None
+) -> int:
     """Run until SIGTERM, or until the module fails; the exit code.
 
-    `site`: the operators' settings; `presence`: tells of another process of this proxy, if there may be one.
+    `early`: signals that came before; `site`: the operators' settings; `presence`: tells of another process
+    of this proxy, if there may be one.
     """
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -177,6 +180,9 @@
     if pushed or told.known is None:
         watch.start()
     loop.add_signal_handler(signal.SIGHUP, reload)
+    if early.reload_wanted:
+        # The file may have been read before it was changed.
+        loop.call_soon(reload)
     classes = {cls.name: cls.idempotency for cls in told.settings.classes}
     gate = Gate(node, classes, loop.time)
     frontend = Frontend(gate, budget.clients, kept)
@@ -210,6 +216,7 @@
         management.close()
     if appliance is not None:
         await appliance.close()
+    signals.block()
     if crashes:
         log.critical("ends after the crash of the decisions: %s", crashes[0])
         return 1
@@ -219,10 +226,7 @@
 def main(site_path: str | None = None, presence: Presence | None = None) -> int:
     """`site_path`: the operators' file; without it `PROXY_SITE` names one, or there is none."""
     logs.configure()
-    # Danger: SIGHUP's default action ends the process; it may come before the loop takes it, or after.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Nothing is taken yet: told to leave before its loop runs, it just ends, in order.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(0))
+    early = EarlySignals()
     site = None
     try:
         told = config.load(os.environ)
@@ -236,7 +240,7 @@
         return 2
     try:
         with asyncio.Runner(loop_factory=Loop) as runner:
-            return runner.run(serve(told, site, presence))
+            return runner.run(serve(told, early, site, presence))
     except config.StartError as error:
         log.critical("the settings can't be carried out: %s", error)
         return 2
