--- a/benchmarks/leavers.py
+++ b/benchmarks/leavers.py
@@ -25,7 +25,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from cloverrouter.lab.peers import SETTINGS, Discovery, Host, Proxy, Seen, ok, running
-from cloverrouter.proxy.messages import unread
+from cloverrouter.proxy.sockets import has_unread_data
 
 LATE_S = 0.1
 LONG = {
@@ -159,7 +159,7 @@
         open_before = set(host.open)
         left_s, left = time.monotonic(), 0
         for client in clients:
-            if not unread(client):  # it waits: neither answered nor closed
+            if not has_unread_data(client):  # it waits: neither answered nor closed
                 left += 1
                 leave(client)
         if where == "nothing":  # they are at the server: how soon it sees them given up
--- a/cloverrouter/proxy/config.py
+++ b/cloverrouter/proxy/config.py
@@ -66,8 +66,8 @@
 def read_class(facts: Json, path: str = "categories[]") -> RequestClass:
     return RequestClass(
         name=_text(facts["name"]),
-        aim_ms=_field(float, facts, path, "aim_ms", least=LEAST_MS),
-        deadline_ms=_field(float, facts, path, "deadline_ms", least=LEAST_MS),
+        aim_ms=_span_ms(facts, path, "aim_ms"),
+        deadline_ms=_span_ms(facts, path, "deadline_ms"),
         worth=_field(float, facts, path, "worth", 1.0),
         late_worth=_field(float, facts, path, "late_worth", 0.0),
         aim_stretch=_field(float, facts, path, "aim_stretch", 0.0, least=0.0),
@@ -87,7 +87,7 @@
     return Settings(
         classes=tuple(read_class(c, f"categories[{i}]") for i, c in enumerate(facts["categories"])),
         zone=_text(facts.get("zone", "")),
-        proxies=_field(int, facts, "", "balancers", least=1, most=MOST_PROXIES),
+        proxies=_field(int, facts, "", "balancers", most=MOST_PROXIES),
         number=None if facts.get("ordinal") is None else _field(int, facts, "", "ordinal", least=0),
         subscribe=facts.get("discovery") == "subscribe",
         report_fields=tuple(_text(name) for name in facts.get("reporting", {}).get("fields", ())),
@@ -111,7 +111,7 @@
         probes=_flag(bounds, "bounds", "probes"),
         retry_after=_flag(bounds, "bounds", "retry_after"),
         max_retry_after_ms=_field(float, bounds, "bounds", "max_retry_after_ms", 0.0, least=0.0),
-        connect_timeout_ms=_field(float, bounds, "bounds", "connect_timeout_ms", 250.0, least=LEAST_MS),
+        connect_timeout_ms=_field(float, bounds, "bounds", "connect_timeout_ms", 250.0, least=0.0),
         max_open=min(_field(int, bounds, "bounds", "max_open", 0, least=0) or most_open, most_open),
     )
 
@@ -301,6 +301,14 @@
         raise ValueError(f"{place}: {error}") from None
 
 
+def _span_ms(facts: Json, path: str, key: str) -> float:
+    """A time that others are divided by."""
+    found = _field(float, facts, path, key)
+    if found < LEAST_MS:
+        raise ValueError(f"{path}.{key} is {found:g}; it must be positive, {LEAST_MS:g} ms at least")
+    return found
+
+
 def _flag(facts: Json, path: str, key: str) -> bool:
     value = facts.get(key)
     if value is None:
--- a/cloverrouter/proxy/containment.py
+++ b/cloverrouter/proxy/containment.py
@@ -68,7 +68,7 @@
         if isinstance(error, ConnectionError) or (isinstance(error, OSError) and not error.filename):
             self.counts["loop_socket"] += 1
             log.warning("socket_error_contained message=%r error=%s", message, error)
-        elif isinstance(error, BaseException):
+        elif isinstance(error, Exception):
             self.report("loop", error, message)
         else:
             log.error("loop_error message=%r", message)
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import select
-import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Protocol
@@ -15,28 +13,6 @@
 MAX_HEAD = 16 * 1024
 
 
-def unread(sock: socket.socket) -> bool:
-    """Has the peer sent something, or its end, that has not been read yet?"""
-    try:
-        sock.recv(1, socket.MSG_PEEK)
-    except (BlockingIOError, InterruptedError):
-        return False
-    except OSError:
-        return True
-    return True
-
-
-def hung_up(sock: socket.socket) -> bool:
-    """Has the peer ended its sending, or the connection, whatever lies here unread before that? False where
-    the system does not tell."""
-    poller = select.poll()
-    try:
-        poller.register(sock, getattr(select, "POLLRDHUP", 0))
-        return bool(poller.poll(0))
-    except (OSError, ValueError):  # ValueError: it is closed, and has no descriptor any more
-        return True
-
-
 class Answer(Value):
     """A host's whole answer; or, with no body, the beginning of one that is passed on as it comes."""
 
--- a/cloverrouter/proxy/sockets.py
+++ b/cloverrouter/proxy/sockets.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import errno
+import select
+import socket
 
 # Errors of accept(2) that belong to the connection which was to be accepted: it has ended, and the next one
 # is to be tried ("Error handling" there). EPERM: a firewall forbids it.
@@ -40,3 +42,25 @@
         transport.abort()
         return False
     return True
+
+
+def has_unread_data(sock: socket.socket) -> bool:
+    """Has the peer sent something, or its end, that has not been read yet?"""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Has the peer ended its sending, or the connection, whatever lies here unread before that? False where
+    the system does not tell."""
+    poller = select.poll()
+    try:
+        poller.register(sock, getattr(select, "POLLRDHUP", 0))
+        return bool(poller.poll(0))
+    except (OSError, ValueError):  # ValueError: it is closed, and has no descriptor any more
+        return True
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -29,8 +29,8 @@
     AnswerSink,
     Call,
     Upload,
-    unread,
 )
+from cloverrouter.proxy.sockets import has_unread_data
 from cloverrouter.proxy.wake import data_age_s, wake_of
 
 OnEnd = Callable[[Outcome, Answer | None], None]
@@ -169,7 +169,7 @@
 
     def clean(self) -> bool:
         """May a request go out here? Danger: what came late would be taken for its answer."""
-        return self._transport is not None and not unread(self._sock)
+        return self._transport is not None and not has_unread_data(self._sock)
 
     def send(self, exchange: Exchange) -> None:
         assert self._exchange is None
--- a/tests/endings/test_settings.py
+++ b/tests/endings/test_settings.py
@@ -315,7 +315,3 @@
                     assert (await client.read()).status == 404, name
 
     asyncio.run(scene())
-
-
-
-
--- a/tests/endings/test_watch.py
+++ b/tests/endings/test_watch.py
@@ -180,8 +180,6 @@
     asyncio.run(scene())
 
 
-
-
 @pytest.mark.parametrize("moved", [False, True])
 def test_answer_that_is_written_as_its_call_is_given_up_is_heard(moved: bool) -> None:
     """What discovery has written counts as told; the next call waits its turn there, for longer than a grace.
--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -14,7 +14,8 @@
 from cloverrouter.interface import Event, Idempotency, RequestArrived, Send
 from cloverrouter.lab.peers import ok
 from cloverrouter.proxy import frontend as front
-from cloverrouter.proxy.frontend import ClientConnection, Frontend
+from cloverrouter.proxy.client_connection import ClientConnection
+from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.shutdown import drain
 from cloverrouter.proxy.validity import Gate, ParsedCall
 from cloverrouter.proxy.wake import Loop
