A failed decision's end takes connections as any drain does; long answers end with it

Change: one drain for both ends (no time of its own for accepting); a test with a long answer that stalls.

--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -18,7 +18,7 @@
 from cloverrouter.proxy.node import Node, longest_ms
 from cloverrouter.proxy.observer import joined
 from cloverrouter.proxy.presence import Presence
-from cloverrouter.proxy.shutdown import KILLED_S, LONGEST_S, STILL_ACCEPTING_S, drain
+from cloverrouter.proxy.shutdown import KILLED_S, LONGEST_S, drain
 from cloverrouter.proxy.signals import EarlySignals
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
@@ -209,8 +209,7 @@
     if crashes:
         watch.stop()
     killed_s = min(LONGEST_S, longest_ms(told.settings) / 1000) + KILLED_S
-    accepting_s = 0.0 if crashes else STILL_ACCEPTING_S
-    await drain(frontend, node, told.inherited is not None, appliance, killed_s, accepting_s)
+    await drain(frontend, node, told.inherited is not None, appliance, killed_s)
     watch.stop()
     if management is not None:
         management.close()
--- a/cloverrouter/proxy/shutdown.py
+++ b/cloverrouter/proxy/shutdown.py
@@ -28,18 +28,16 @@
     succeeded: bool,
     appliance: Appliance | None,
     killed_s: float = float("inf"),
-    accepting_s: float = STILL_ACCEPTING_S,
 ) -> None:
     """Leave without losing what was taken. Every call has a deadline, so this ends.
 
     `succeeded`: another process takes connections from the same listening socket. `killed_s`: the platform
-    ends this process no sooner than in so many seconds. `accepting_s`: how long connections are still taken
-    as before; 0 after a crash of the decisions, when requests that come can only be refused.
+    ends this process no sooner than in so many seconds.
     """
     loop = asyncio.get_running_loop()
     gone_by_s = loop.time() + killed_s - GONE_S
     # Danger: clients ask on what is open up to the process's end, and would wait past it for their answers.
-    node.leave((loop.time() + accepting_s) * 1000, gone_by_s * 1000)
+    node.leave((loop.time() + STILL_ACCEPTING_S) * 1000, gone_by_s * 1000)
     frontend.gate.stopping = True
     if succeeded:
         # Danger: a request that crosses the end of its connection is turned back unheard. The other process
@@ -47,7 +45,7 @@
         frontend.stop_accepting()
     else:
         frontend.close_idle(spare_new=True)
-    await asyncio.sleep(accepting_s)
+    await asyncio.sleep(STILL_ACCEPTING_S)
     await frontend.accept_rest()
     frontend.close()
     if appliance is not None:
--- a/tests/faults/test_decision_failure.py
+++ b/tests/faults/test_decision_failure.py
@@ -131,6 +131,25 @@
     asyncio.run(scene())
 
 
+async def begin_and_hang(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(4):
+        writer.write(b"8000\r\n" + bytes(0x8000) + b"\r\n")
+
+
+def test_long_answer_that_stalls_keeps_the_process_no_longer() -> None:
+    """Otherwise its server would have ten seconds."""
+
+    async def scene() -> None:
+        async with proxy_before(begin_and_hang) as (proxy, host):
+            client = await under_way(proxy, host)
+            assert (await client.reader.readline()).startswith(b"HTTP/1.1 200")
+            await fail(proxy)
+            await ends_in_order(proxy)
+
+    asyncio.run(scene())
+
+
 def test_requests_that_come_later_are_refused_and_end_their_connections() -> None:
     async def scene() -> None:
         async with proxy_before(slowly) as (proxy, host):
