Recorder: steps are made into values when they are read

Measured: a note costs 0.59 us in place of 1.37 (timeit, busy machine); four or five of them a request. Result: tests/faults/test_log_reader and test_decision_failure: 17 passed.

--- a/cloverrouter/proxy/recorder.py
+++ b/cloverrouter/proxy/recorder.py
@@ -30,15 +30,20 @@
     """The last steps of one process."""
 
     def __init__(self) -> None:
-        self.steps: deque[Step] = deque(maxlen=KEPT)
+        # Made into `Step` when they are read: some are noted for every request, and few are ever read.
+        self._steps: deque[tuple[float, str, object, object]] = deque(maxlen=KEPT)
 
     def note(self, event: str, subject: object, detail: object = "") -> None:
-        self.steps.append(Step(now_s(), event, subject, detail))
+        self._steps.append((now_s(), event, subject, detail))
+
+    @property
+    def steps(self) -> list[Step]:
+        return [Step(*step) for step in self._steps]
 
     def write(self, most: int = KEPT) -> None:
         """Write the last `most` steps to the log, with their age in milliseconds."""
         at_s = now_s()
-        for step in list(self.steps)[-most:]:
+        for step in self.steps[-most:]:
             age_ms = (at_s - step.at_s) * 1000
             subject = step.subject.decode("latin-1") if isinstance(step.subject, bytes) else step.subject
             text = "recent_step ms_ago=%.1f event=%s subject=%s detail=%s"
