End a client's connection that the loop could not add to epoll

Cause: seen by how long two of the new tests took (62 s): with epoll_ctl failing, a connection was accepted and never read from; its request lay unread, so it never counted as idle, and client and descriptor waited for ever. The tests of system calls bound how long any client waits (6 s).

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -46,6 +46,7 @@
 # connection would overtake the error.
 LINGER_S = 1.5
 UNREAD_S = 3.0  # for an answer of which its client reads nothing
+UNREADABLE_S = 1.0  # that something may lie unread on a connection with nothing else on it
 STALL_S = 10.0  # the same for a long one, of which it has read some
 REASONS = {
     200: b"OK",
@@ -112,6 +113,7 @@
         self._error = 0  # what the bytes read just now have earned
         self._ended = False  # an error or a last answer is out: what still comes is dropped
         self._asked = False  # it has sent a whole request
+        self._unread_from_s: float | None = None  # since when a sweep has found something unread
         self._paused = False  # the client does not read its answers
         self._begun = False  # bytes of an unfinished request have come
         self._completed = False  # a request ended in the bytes read just now
@@ -146,6 +148,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         if self._ended or self._transport is None:
             return
+        self._unread_from_s = None
         if not self._begun:
             self._begun = True
             if self._asked:  # a first request's time counts from connecting
@@ -612,9 +615,22 @@
         elif self._begun:
             if waited_s > UNFINISHED_S:
                 self._end_with(408)
+        elif waited_s > UNFINISHED_S and self._is_unreadable(now_s):
+            self.end("can't be read from")
         elif waited_s > (IDLE_S if crowded or not self._asked else IDLE_WITH_ROOM_S):
             self.close_idle()
 
+    def _is_unreadable(self, now_s: float) -> bool:
+        """Has something lain here unread for `UNREADABLE_S`? Then the loop could not add the connection to
+        epoll (epoll_ctl(2): ENOMEM, ENOSPC), and will never read from it. What has just come is read in the
+        loop's next step."""
+        if not has_unread_data(self._sock):
+            self._unread_from_s = None
+            return False
+        if self._unread_from_s is None:
+            self._unread_from_s = now_s
+        return now_s - self._unread_from_s > UNREADABLE_S
+
 
 class Passing:
     """A long answer on its way to a client: an `AnswerSink`."""
--- a/tests/faults/test_containment.py
+++ b/tests/faults/test_containment.py
@@ -539,6 +539,28 @@
     play(scene)
 
 
+def test_request_that_has_just_come_is_not_taken_for_one_that_can_not_be_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It lies in the kernel as an idle connection is looked at, and the loop has had no step since."""
+    monkeypatch.setattr(client_connection, "UNFINISHED_S", 0.0)
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        client = connect(address, asking_last("r0").replace(CLOSE.encode(), b""))
+        await until(lambda: held.calls)
+        held.calls.pop().reply(200, b"")
+        assert client.recv(1000).startswith(b"HTTP/1.1 200")
+        client.sendall(asking_last("r1"))
+        for _ in range(2):
+            frontend._sweep()
+        await until(lambda: held.calls)
+        held.calls.pop().reply(200, b"")
+        assert (await loop.sock_recv(not_blocking(client), 1000)).startswith(b"HTTP/1.1 200")
+
+    play(scene)
+
+
 def test_listener_that_can_not_be_added_again_is_tried_again(monkeypatch: pytest.MonkeyPatch) -> None:
     """epoll_ctl(2) fails where the user has no more watches."""
     monkeypatch.setattr(front, "SWEEP_S", 0.02)
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -28,6 +28,7 @@
 CLIENTS = 6
 FAULTY_S = 0.4
 REQUESTS_OF_A_CLIENT = 10_000  # at most
+LONGEST_WAIT_S = 6.0  # the deadline is 1 s; a connection that is never read from is ended after 3.3 s
 LOST, CROSSED = 0, 1
 # Served, or refused at once, or turned away.
 REQUESTS = (("/unsafe", 1000), ("/keyed", 1000), ("/unsafe", 1), ("/nowhere", 1000))
@@ -40,6 +41,7 @@
     def __init__(self, proxy: Proxy, plan: Path, hosts: Sequence[Host]) -> None:
         self.proxy, self._plan, self._hosts = proxy, plan, hosts
         self.answers: Counter[int] = Counter()  # by status; `LOST` and `CROSSED`: there was none
+        self.longest_s = 0.0  # that a client waited for its answer, or for its connection's end
         self._asked = self._connected = 0
 
     async def set(self, *faults: Fault) -> None:
@@ -66,6 +68,7 @@
         client: Client | None = None
         while time.monotonic() < until_s:
             message: Message | None = None
+            began_s = time.monotonic()
             with suppress(OSError, asyncio.IncompleteReadError):
                 if client is None:
                     client = await self.client()
@@ -73,6 +76,7 @@
                 self._asked += 1
                 extra = "Connection: close\r\n" if new_connections else ""
                 message = await client.ask(target, timeout_ms=timeout_ms, extra=extra)
+            self.longest_s = max(self.longest_s, time.monotonic() - began_s)
             if message is None:
                 # A kept connection may be closed as idle, to make room, just as it is asked on.
                 kept = client is not None and client.count % REQUESTS_OF_A_CLIENT > 1
@@ -143,6 +147,7 @@
             log = faulty.proxy.log()
             assert "CRITICAL" not in log and "was never retrieved" not in log, log
             assert not faulty.ran_twice()
+            assert faulty.longest_s < LONGEST_WAIT_S
             await asyncio.sleep(0.3)  # connections of clients that have closed are seen to be
             assert faulty.descriptors() <= 40, os.listdir(f"/proc/{faulty.proxy.process.pid}/fd")
             faulty.proxy.signal(signal.SIGTERM)
