Faults: close, bind and listen that fail; a start waits for its address; accept tries again soon

Cause: the rest of the system calls. A close(2) that returns an error raised in the drain (listener), in the loop's end and in connecting; an address in use at the start was a traceback with exit code 1, and for a moment kept the proxy down; one descriptor missing at an accept, with nobody idle, rested the listener for 0.2 s.

--- a/cloverrouter/proxy/__main__.py
+++ b/cloverrouter/proxy/__main__.py
@@ -56,7 +56,7 @@
     gc.disable()
     if os.environ.get("PROXY_INHERITED_FD"):
         presence = Presence.found(os.environ.get("TMPDIR"))
-        if presence is not None and presence.count() > 1:
+        if presence is not None and presence.others():
             time.sleep(HEARD_S)
             load_gently()
     load_without_tls()
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -14,7 +14,8 @@
 from cloverrouter.proxy.descriptors import MADE_AT_ONCE, room_of
 from cloverrouter.proxy.keeping import Keeping
 from cloverrouter.proxy.observer import Observer
-from cloverrouter.proxy.sockets import CONNECTION_ERRORS
+from cloverrouter.proxy.sockets import CONNECTION_ERRORS, close
+from cloverrouter.proxy.startup import retried_in_loop
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop, wake_of
 
@@ -30,6 +31,20 @@
 log = logging.getLogger(__name__)
 
 
+def listening(address: Address) -> socket.socket:
+    """A socket that listens at `address`. Raises OSError."""
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        listener.setblocking(False)
+    except OSError:
+        close(listener)
+        raise
+    return listener
+
+
 class Frontend:
     """The listening socket and the connections that came by it."""
 
@@ -62,20 +77,17 @@
     async def listen(self, address: Address, inherited: int | None = None) -> Address:
         """`inherited`: the descriptor of a socket that listens already, here and perhaps in another process.
 
-        Raises OSError if it is none.
+        Raises OSError if it is none, or if the address can't be listened on.
         """
         if inherited is None:
-            listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(BACKLOG)
+            listener = await retried_in_loop(partial(listening, address))
         else:
             listener = socket.socket(fileno=inherited)
-        listener.setblocking(False)
+            listener.setblocking(False)
         self._listener = listener
-        self.loop.add_reader(listener, self._accept, listener)
+        await retried_in_loop(lambda: self.loop.add_reader(listener, self._accept, listener))
         self._sweeping = Periodic(self.loop, self.errors, "client_sweep", SWEEP_S, self._sweep)
-        host, port = listener.getsockname()[:2]
+        host, port = address if address[1] else listener.getsockname()[:2]
         return host, port
 
     def number(self) -> int:
@@ -112,16 +124,17 @@
                 # Danger: where it is the machine that has none left, what makes room here goes to others: one
                 # at once, and then a few in a second.
                 now_s = self.loop.time()
-                soon = now_s - self._missed_s > 2 * SWEEP_S and self._make_room(gently=True)
-                if not soon:
+                first = now_s - self._missed_s > 2 * SWEEP_S
+                if not first:
                     log.error("accept: %s", error)
-                    self._make_room()
+                self._make_room(gently=first)
                 self._missed_s = now_s
-                self._rest(listener, POLL_S if soon else SWEEP_S)
+                self._rest(listener, POLL_S if first else SWEEP_S)
                 return True
+            self._missed_s = float("-inf")
             if self._filled():
                 if not self._make_room():
-                    sock.close()  # it can't be served, and not reading it would keep it waiting
+                    close(sock)  # it can't be served, and not reading it would keep it waiting
                     continue
                 made += 1  # danger: the other one holds its descriptor up to the loop's next step
             sock.setblocking(False)
@@ -165,10 +178,10 @@
                 connection.end("can't be read from")
         except OSError as error:
             log.warning("a connection was lost while it was taken in: %s", error)
-            sock.close()
+            close(sock)
         except Exception as error:
             self.errors.report("client_accept", error)
-            sock.close()
+            close(sock)
 
     def _rest(self, listener: socket.socket, for_s: float = SWEEP_S) -> None:
         self._resting = True
@@ -300,7 +313,7 @@
         listener, self._listener = self._listener, None
         if listener is not None:
             self.loop.remove_reader(listener)
-            listener.close()
+            close(listener)
 
     @property
     def busy(self) -> bool:
--- a/cloverrouter/proxy/presence.py
+++ b/cloverrouter/proxy/presence.py
@@ -61,6 +61,13 @@
                 os.close(descriptor)
         return others + 1
 
+    def others(self) -> bool:
+        """Is another process there, as far as can be told?"""
+        try:
+            return self.count() > 1
+        except OSError:
+            return False
+
     def leave(self) -> None:
         descriptor, self._descriptor, self._mine = self._descriptor, None, None
         if descriptor is not None:
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cloverrouter.interface import ListKind
@@ -20,6 +21,7 @@
 from cloverrouter.proxy.presence import Presence
 from cloverrouter.proxy.shutdown import KILLED_S, LONGEST_S, drain
 from cloverrouter.proxy.signals import EarlySignals
+from cloverrouter.proxy.startup import retried
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop
@@ -192,9 +194,9 @@
         if not stop.is_set():
             await frontend.listen(told.listen, told.inherited)
     except OSError as error:
-        if told.inherited is None:
-            raise
-        text = f"PROXY_INHERITED_FD={told.inherited} is no listening socket: {error}"
+        text = f"listen: {told.listen[0]}:{told.listen[1]} can't be listened on: {error}"
+        if told.inherited is not None:
+            text = f"PROXY_INHERITED_FD={told.inherited} is no listening socket: {error}"
         raise config.StartError(text) from error
     if management is not None and told.management is not None:
         frontend.observer = joined(frontend.observer, management.figures, node.errors)
@@ -210,9 +212,9 @@
         watch.stop()
     killed_s = min(LONGEST_S, longest_ms(told.settings) / 1000) + KILLED_S
     await drain(frontend, node, told.inherited is not None, appliance, killed_s)
-    watch.stop()
+    node.errors.run("close", watch.stop)
     if management is not None:
-        management.close()
+        node.errors.run("close", management.close)
     if appliance is not None:
         await appliance.close()
     signals.block()
@@ -237,9 +239,13 @@
     except Exception as error:  # whatever is wrong with a file
         log.critical("no usable configuration: %s: %s", type(error).__name__, error)
         return 2
+    runner = asyncio.Runner(loop_factory=Loop)
     try:
-        with asyncio.Runner(loop_factory=Loop) as runner:
-            return runner.run(serve(told, early, site, presence))
+        retried(runner.get_loop)
+        return runner.run(serve(told, early, site, presence))
     except config.StartError as error:
         log.critical("the settings can't be carried out: %s", error)
         return 2
+    finally:
+        with suppress(OSError):  # of closing its own descriptors: all is done
+            runner.close()
--- a/cloverrouter/proxy/sockets.py
+++ b/cloverrouter/proxy/sockets.py
@@ -10,6 +10,7 @@
 import errno
 import select
 import socket
+from contextlib import suppress
 
 # Errors of accept(2) that belong to the connection which was to be accepted: it has ended, and the next one
 # is to be tried ("Error handling" there). EPERM: a firewall forbids it.
@@ -44,6 +45,12 @@
     return True
 
 
+def close(sock: socket.socket) -> None:
+    """Close a socket. Its descriptor is free whatever close(2) says, also where that is an error."""
+    with suppress(OSError):
+        sock.close()
+
+
 def has_unread_data(sock: socket.socket) -> bool:
     """Has the peer sent something, or its end, that has not been read yet?"""
     try:
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -30,7 +30,7 @@
     Call,
     Upload,
 )
-from cloverrouter.proxy.sockets import has_unread_data
+from cloverrouter.proxy.sockets import close, has_unread_data
 from cloverrouter.proxy.wake import Loop, data_age_s, wake_of
 
 OnEnd = Callable[[Outcome, Answer | None], None]
@@ -659,7 +659,7 @@
             return
         finally:
             if not owned:
-                sock.close()
+                close(sock)
         if isinstance(self.loop, Loop) and not self.loop.watches(sock):
             connection.abort()
             exchange.end(Outcome.NOT_SENT)  # our own lack: its answer would never be read
--- a/tests/faults/faulty_sockets.py
+++ b/tests/faults/faulty_sockets.py
@@ -52,9 +52,11 @@
 
     def check(self, call: str, descriptor: Any) -> None:
         """Raise the error that is planned for `call` on this socket."""
-        if not self._faults:
-            return
-        fault = self._faults.get((call, side_of(descriptor)))
+        if self._faults:
+            self.check_side(call, side_of(descriptor))
+
+    def check_side(self, call: str, side: str) -> None:
+        fault = self._faults.get((call, side))
         if fault is not None and self._random.random() < fault.share:
             number = getattr(errno, fault.error)
             raise OSError(number, os.strerror(number))
@@ -73,6 +75,8 @@
         _wrap_socket_call(plan, name)
     for name in SELECTOR_CALLS:
         _wrap_selector_call(plan, name)
+    _wrap_listening(plan)
+    _wrap_close(plan)
     _wrap_new_socket(plan)
     _wrap_poll(plan)
 
@@ -124,6 +128,30 @@
     setattr(selectors.DefaultSelector, name, call)
 
 
+def _wrap_listening(plan: Plan) -> None:
+    """A socket that is not bound yet tells no side; only the clients' one listens."""
+    for name in ("bind", "listen"):
+        real = getattr(socket.socket, name)
+
+        def call(self: socket.socket, *told: Any, name: str = name, real: Any = real) -> Any:
+            plan.check_side(name, "clients")
+            return real(self, *told)
+
+        setattr(socket.socket, name, call)
+
+
+def _wrap_close(plan: Plan) -> None:
+    """The descriptor is free also where close(2) returns an error."""
+    real = socket.socket.close
+
+    def call(self: socket.socket) -> None:
+        side = side_of(self) if self.fileno() >= 0 else "none"
+        real(self)
+        plan.check_side("close", side)
+
+    socket.socket.close = call  # type: ignore[method-assign, assignment]
+
+
 def _wrap_new_socket(plan: Plan) -> None:
     real = socket.socket.__init__
 
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -168,6 +168,7 @@
     "getsockopt": ("ENOTCONN", "EINVAL"),
     "getpeername": ("ENOTCONN",),
     "poll": ("ENOMEM",),
+    "close": ("EIO", "EINTR"),
     "register": ("ENOMEM", "ENOSPC"),
     "modify": ("ENOMEM",),
 }
@@ -183,6 +184,7 @@
     "getsockopt": ("ENOTCONN", "EINVAL"),
     "getpeername": ("ENOTCONN",),
     "socket": ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM"),
+    "close": ("EIO", "EINTR"),
     "register": ("ENOMEM", "ENOSPC"),
     "modify": ("ENOMEM",),
 }  # fmt: skip
@@ -214,6 +216,69 @@
     assert answers[200] or share == 1.0, answers
 
 
+def test_close_fails_up_to_the_end() -> None:
+    """The drain closes the listener and what idles; the process ends in order all the same."""
+
+    async def scene() -> None:
+        async with faulty_proxy() as faulty:
+            await faulty.serves()
+            await faulty.set(Fault("close", "EIO", "clients"), Fault("close", "EIO", "servers"))
+            clients = [await faulty.client() for _ in range(4)]
+            for client in clients:
+                client.send("/unsafe")
+            await asyncio.sleep(0.05)
+            faulty.proxy.signal(signal.SIGTERM)
+            for client in clients:
+                assert (await client.read()).status == 200
+            assert await faulty.proxy.ended() == 0, faulty.proxy.log()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ("call", "error"), [("bind", "EADDRINUSE"), ("listen", "EADDRINUSE"), ("bind", "ENOMEM")]
+)
+def test_address_that_can_not_be_listened_on_for_a_moment(call: str, error: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        plan = tmp_path / "plan.json"
+        plan.write_text(json.dumps([Fault(call, error, "clients")]))
+
+        async def mend(proxy: Proxy) -> None:
+            await asyncio.sleep(1.0)
+            plan.write_text("[]")
+            proxy.signal(signal.SIGUSR1)
+
+        hosts, discovery = [await Host("h0", answer_soon).start()], await Discovery().start()
+        real, mending = Proxy.start, list[asyncio.Task[None]]()
+
+        def start(self: Proxy) -> None:
+            real(self)
+            mending.append(asyncio.get_running_loop().create_task(mend(self)))
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Proxy, "start", start)
+            environ = {"PROXY_FAULTS": str(plan)}
+            async with running(discovery, hosts, command=COMMAND, environ=environ) as proxy:
+                client = await proxy.client()
+                assert (await client.ask("/unsafe")).status == 200
+
+    asyncio.run(scene())
+
+
+def test_address_that_can_not_be_listened_on_is_told_of() -> None:
+    async def scene() -> None:
+        hosts, discovery = [await Host("h0").start()], await Discovery().start()
+        async with running(discovery, hosts) as proxy:
+            other = proxy.successor(dict(proxy.environ))
+            other.start()
+            assert await other.ended() == 2
+            assert "can't be listened on" in other.log() and "Traceback" not in other.log()
+            other.close()
+            await proxy.wait_health(200)
+
+    asyncio.run(scene())
+
+
 def test_accept() -> None:
     """Whoever has connected waits until it can be accepted."""
     faults = [Fault("accept", error, "clients", 0.5) for error in ACCEPT_ERRORS]
