--- a/cloverrouter/proxy/sockets.py
+++ b/cloverrouter/proxy/sockets.py
@@ -64,10 +64,12 @@
 
 def peer_has_closed(sock: socket.socket) -> bool:
     """Has the peer ended its sending, or the connection, whatever lies here unread before that? False where
-    the system does not tell."""
+    the system does not tell, or can't just now (poll(2): ENOMEM): who is there is owed an answer."""
     poller = select.poll()
     try:
         poller.register(sock, getattr(select, "POLLRDHUP", 0))
         return bool(poller.poll(0))
-    except (OSError, ValueError):  # ValueError: it is closed, and has no descriptor any more
+    except OSError:
+        return False
+    except ValueError:  # it is closed, and has no descriptor any more
         return True
--- a/tests/faults/faulty_sockets.py
+++ b/tests/faults/faulty_sockets.py
@@ -156,10 +156,8 @@
     real = socket.socket.__init__
 
     def init(self: Any, *told: Any, **named: Any) -> None:
-        fault = plan._faults.get(("socket", "servers"))
-        if fault is not None and named.get("fileno") is None and len(told) < 4:
-            number = getattr(errno, fault.error)
-            raise OSError(number, os.strerror(number))
+        if named.get("fileno") is None and len(told) < 4:
+            plan.check_side("socket", "servers")
         real(self, *told, **named)
 
     socket.socket.__init__ = init  # type: ignore[method-assign]
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -188,6 +188,8 @@
     "register": ("ENOMEM", "ENOSPC"),
     "modify": ("ENOMEM",),
 }  # fmt: skip
+# Of a client's connection that is well: what fails tells nothing of it.
+HARMLESS = ("poll", "getsockopt", "getpeername", "close", "recv")
 ACCEPT_ERRORS = ("ECONNABORTED", "EPROTO", "EPERM", "ENETDOWN", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM")
 
 
@@ -201,7 +203,10 @@
 def test_calls_on_some_clients_connections(call: str) -> None:
     """Every fourth call fails: some connections live on, and what they ask is served meanwhile."""
     faults = [Fault(call, error, "clients", 0.25) for error in CLIENT_FAULTS[call]]
-    assert played(faults, new_connections=False).answers[200]
+    answers = played(faults, new_connections=False).answers
+    assert answers[200]
+    if call in HARMLESS:
+        assert not answers[LOST] and not answers[CROSSED], answers
 
 
 @pytest.mark.parametrize("call", SERVER_FAULTS)
