--- /dev/null
+++ b/tests/faults/overload.py
@@ -0,0 +1,130 @@
+"""An overload round one real proxy: servers of little capacity, clients that retry on new connections, and a
+proxy that gets a short share of the processor.
+
+A run is judged by what clients saw: each request has to get its final answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import time
+from collections import Counter
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+from cloverrouter.lab.peers import Host, Proxy, Seen, ok, read_message
+
+Address = tuple[str, int]
+# A client waits for its answer so long beyond its time; by the rules it is lost half a second after it, and a
+# busy machine may hold this process up as well.
+LOST_AFTER_S = 1.0
+RETRY_AFTER_S = 0.05
+
+
+@dataclass
+class Record:
+    """What clients saw."""
+
+    statuses: Counter[str] = field(default_factory=Counter)
+    lost: list[str] = field(default_factory=list)  # requests that got no final answer in time, and why
+    latest_s: float = 0.0  # by how much an answer came after its request's time, at most
+
+    def summary(self) -> str:
+        return f"{dict(self.statuses)}; {len(self.lost)} lost, first {self.lost[:5]}; {self.latest_s:.2f} s late"
+
+
+class LimitedServers:
+    """Servers that work on `at_once` requests each for `work_s`; others wait there for their turn."""
+
+    def __init__(self, count: int, at_once: int, work_s: float) -> None:
+        self._work_s = work_s
+        self._turns = {f"h{i}": asyncio.Semaphore(at_once) for i in range(count)}
+        self.hosts: list[Host] = []
+
+    async def start(self) -> Sequence[Host]:
+        self.hosts = [await Host(name, self._responder(turns)).start() for name, turns in self._turns.items()]
+        return self.hosts
+
+    def _responder(self, turns: asyncio.Semaphore):  # type: ignore[no-untyped-def]
+        async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            async with turns:
+                await asyncio.sleep(self._work_s)
+            writer.write(ok(seen.message.headers["x-request-id"].encode()))
+
+        return respond
+
+    def received(self) -> Counter[str]:
+        return Counter(s.message.headers["x-request-id"] for host in self.hosts for s in host.seen)
+
+
+class RetryingClients:
+    """`per_s` requests a second, each on a connection of its own, and up to `retries` more for each that is
+    refused; each retry is a request of its own."""
+
+    def __init__(self, endpoint: Address, per_s: float, retries: int, waits_s: Sequence[float]) -> None:
+        self._endpoint, self._per_s, self._retries = endpoint, per_s, retries
+        self._waits_s = itertools.cycle(waits_s)
+        self._names = itertools.count()
+        self.record = Record()
+
+    async def run(self, seconds: float) -> None:
+        began_s = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(int(seconds * self._per_s)):
+                await asyncio.sleep(max(0.0, began_s + number / self._per_s - time.monotonic()))
+                tasks.create_task(self._persist(next(self._waits_s)))
+
+    async def _persist(self, waits_s: float) -> None:
+        for _ in range(1 + self._retries):
+            status = await self._ask(f"r{next(self._names)}", waits_s)
+            if status != 503:
+                return
+            await asyncio.sleep(RETRY_AFTER_S)
+
+    async def _ask(self, name: str, waits_s: float) -> int:
+        """The answer's status; 0 if there was none, which the record tells."""
+        began_s = time.monotonic()
+        status, trouble = 0, ""
+        try:
+            async with asyncio.timeout(waits_s + LOST_AFTER_S):
+                status = await self._exchange(name, waits_s)
+        except TimeoutError:
+            trouble = "no answer"
+        except (OSError, asyncio.IncompleteReadError) as error:
+            trouble = repr(error)
+        took_s = time.monotonic() - began_s
+        if trouble:
+            self.record.lost.append(f"{name} of {waits_s} s after {took_s:.2f} s: {trouble}")
+        self.record.statuses[str(status)] += 1
+        self.record.latest_s = max(self.record.latest_s, took_s - waits_s)
+        return status
+
+    async def _exchange(self, name: str, waits_s: float) -> int:
+        reader, writer = await asyncio.open_connection(*self._endpoint)
+        try:
+            writer.write(
+                f"POST /unsafe HTTP/1.1\r\nX-Request-ID: {name}\r\nX-Timeout-Ms: {waits_s * 1000:.0f}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return (await read_message(reader)).status
+        finally:
+            with suppress(OSError):
+                writer.transport.abort()
+
+
+async def pause(proxy: Proxy, seconds: float) -> None:
+    """Hold the process up once."""
+    proxy.signal(signal.SIGSTOP)
+    await asyncio.sleep(seconds)
+    proxy.signal(signal.SIGCONT)
+
+
+async def starve(proxy: Proxy, seconds: float, runs_s: float, rests_s: float) -> None:
+    """Let the process run for `runs_s` and rest for `rests_s` in turn."""
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        await pause(proxy, rests_s)
+        await asyncio.sleep(runs_s)
