Log what waits ahead of the decisions: front_load, and each request's steps on demand

Need: the incident's log could not tell whether connections waited in the listener's queue, nor why; a request that nobody has accepted is in no figure. Change: one line for each second in which connections waited, were ended unread or the process paused (proxy/load.py), the same counts in PROXY_TALLY; PROXY_TRACE=1 logs each step of each request.

--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -13,6 +13,7 @@
 from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import MADE_AT_ONCE, room_of
 from cloverrouter.proxy.keeping import Keeping
+from cloverrouter.proxy.load import EVERY_S, DeferReason, LoadCounters, RejectReason
 from cloverrouter.proxy.observer import Observer
 from cloverrouter.proxy.sockets import CONNECTION_ERRORS, close
 from cloverrouter.proxy.startup import retried_in_loop
@@ -57,6 +58,9 @@
         self.wake = wake_of(self.loop)
         self.behind_s = 0.0  # since when connections may wait to be taken; 0: none does
         self.held_up = False  # they wait for room
+        self.load = LoadCounters(lambda: (self.count, self._most_open))
+        self.wake.on_gap.append(lambda gap: self.load.paused(gap.span_s, gap.cause.value))
+        self._queued_since_s = 0.0  # since when the listener's queue may hold connections; 0: it was empty
         self.observer: Observer | None = None
         self.buffer = memoryview(bytearray(READ_BYTES))
         self._most_open = most_open
@@ -65,6 +69,7 @@
         self._yielding: tuple[dict[ClientConnection, None], ...] = ({}, {}, {}, {})
         self._adopting: set[asyncio.Task[object]] = set()
         self._sweeping: Periodic | None = None
+        self._telling: Periodic | None = None
         self._listener: socket.socket | None = None
         self._accepted = 0  # connections, ever
         self._accepted_s = 0.0  # when it last looked for connections
@@ -87,6 +92,7 @@
         self._listener = listener
         await retried_in_loop(lambda: self.loop.add_reader(listener, self._accept, listener))
         self._sweeping = Periodic(self.loop, self.errors, "client_sweep", SWEEP_S, self._sweep)
+        self._telling = Periodic(self.loop, self.errors, "load_line", EVERY_S, self.load.tell)
         host, port = address if address[1] else listener.getsockname()[:2]
         return host, port
 
@@ -102,20 +108,24 @@
         descriptors then, and stops accepting for a second.
         """
         self._look_behind()
+        now_s = self.loop.time()
+        self._queued_since_s = self._queued_since_s or min(now_s, self.wake.before_s)
         made = 0
         for _ in range(ACCEPTED_AT_ONCE):
             if self.behind_s and self._filled(ROOMY_SHARE) and not self._make_room(gently=True):
                 # Danger: closed, they would be reset, and have asked already. Those that are open end soon.
                 self.held_up = True
+                self.load.deferred(DeferReason.RECOVERING)
                 self._rest(listener)
                 return True
             if self._unheard():
                 # Danger: closed, it would be reset, and has asked already.
+                self.load.deferred(DeferReason.UNREAD_REQUESTS)
                 return True
             try:
                 sock, _peer = listener.accept()
             except (BlockingIOError, InterruptedError):
-                self.behind_s = 0.0
+                self.behind_s = self._queued_since_s = 0.0
                 return False
             except OSError as error:
                 if error.errno in CONNECTION_ERRORS:
@@ -127,13 +137,16 @@
                 first = now_s - self._missed_s > 2 * SWEEP_S
                 if not first:
                     log.error("accept: %s", error)
+                self.load.deferred(DeferReason.NO_DESCRIPTORS)
                 self._make_room(gently=first)
                 self._missed_s = now_s
                 self._rest(listener, POLL_S if first else SWEEP_S)
                 return True
             self._missed_s = float("-inf")
+            self.load.accepted(now_s - self._queued_since_s)
             if self._filled():
                 if not self._make_room():
+                    self.load.rejected(RejectReason.NO_CAPACITY)
                     close(sock)  # it can't be served, and not reading it would keep it waiting
                     continue
                 made += 1  # danger: the other one holds its descriptor up to the loop's next step
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -445,7 +445,7 @@
                 self.observer.not_taken(call, why)
             return
         self._last_id += 1
-        self._note("taken", call.request_id, call.class_name)
+        self._note("taken", call.request_id, (call.class_name, round(self.now_ms() - call.arrived_ms)))
         coming = call.upload is not None and not call.upload.ended
         request = Request(self._last_id, call, None if coming else self._deadline_ms(call))
         if call.upload is not None and coming:
--- a/cloverrouter/proxy/recorder.py
+++ b/cloverrouter/proxy/recorder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import os
 from collections import deque
 from typing import NamedTuple
 
@@ -30,12 +31,21 @@
     """The last steps of one process."""
 
     def __init__(self) -> None:
+        """With `PROXY_TRACE` set in the environment each step is logged as it is noted, some lines for each
+        request, for a run that is to be traced by request ids."""
+        if os.environ.get("PROXY_TRACE"):
+            self.note = self._note_and_log  # type: ignore[method-assign]
         # Made into `Step` when they are read: some are noted for every request, and few are ever read.
         self._steps: deque[tuple[float, str, object, object]] = deque(maxlen=KEPT)
 
     def note(self, event: str, subject: object, detail: object = "") -> None:
         self._steps.append((now_s(), event, subject, detail))
 
+    def _note_and_log(self, event: str, subject: object, detail: object = "") -> None:
+        self._steps.append((now_s(), event, subject, detail))
+        text = subject.decode("latin-1") if isinstance(subject, bytes) else subject
+        log.info("request_step event=%s subject=%s detail=%s", event, text, detail)
+
     @property
     def steps(self) -> list[Step]:
         return [Step(*step) for step in self._steps]
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -171,6 +171,8 @@
                 "connections": upstream.open,
                 "connects": upstream.connects,
                 "contained_errors": contained,
+                "clients": frontend.count,
+                **frontend.load.total,
             }
 
         tally = Tally(node.view, counted)
--- a/tests/faults/overload.py
+++ b/tests/faults/overload.py
@@ -33,7 +33,9 @@
     latest_s: float = 0.0  # by how much an answer came after its request's time, at most
 
     def summary(self) -> str:
-        return f"{dict(self.statuses)}; {len(self.lost)} lost, first {self.lost[:5]}; {self.latest_s:.2f} s late"
+        return (
+            f"{dict(self.statuses)}; {len(self.lost)} lost, first {self.lost[:5]}; {self.latest_s:.2f} s late"
+        )
 
 
 class LimitedServers:
