--- a/tests/faults/overload.py
+++ b/tests/faults/overload.py
@@ -15,12 +15,14 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from cloverrouter.lab.peers import Host, Proxy, Seen, ok, read_message
+from cloverrouter.lab.peers import Host, Proxy, Respond, Seen, ok, read_message
 
 Address = tuple[str, int]
-# A client waits for its answer so long beyond its time; by the rules it is lost half a second after it, and a
-# busy machine may hold this process up as well.
-LOST_AFTER_S = 1.0
+# A client gives up so long after its request's time. The users' clients do after 0.06 s; the rest is for a
+# busy machine.
+GIVES_UP_AFTER_S = 0.4
+OWN_PAUSE_S = 0.1  # in which what came while this process itself stood still is read
+LOST_SHARE = 1 / 500  # of the requests may get no answer in time
 RETRY_AFTER_S = 0.05
 
 
@@ -29,13 +31,18 @@
     """What clients saw."""
 
     statuses: Counter[str] = field(default_factory=Counter)
-    lost: list[str] = field(default_factory=list)  # requests that got no final answer in time, and why
+    unanswered: list[str] = field(default_factory=list)  # in their time
+    cut: list[str] = field(default_factory=list)  # connections that ended without a whole answer
     latest_s: float = 0.0  # by how much an answer came after its request's time, at most
 
+    def check(self) -> None:
+        """No request is lost, as the users count it."""
+        assert not self.cut, self.summary()
+        assert len(self.unanswered) <= LOST_SHARE * self.statuses.total(), self.summary()
+
     def summary(self) -> str:
-        return (
-            f"{dict(self.statuses)}; {len(self.lost)} lost, first {self.lost[:5]}; {self.latest_s:.2f} s late"
-        )
+        lost = f"{len(self.unanswered)} unanswered {self.unanswered[:3]}, {len(self.cut)} cut {self.cut[:3]}"
+        return f"{dict(self.statuses)}; {lost}; at most {self.latest_s:.2f} s late"
 
 
 class LimitedServers:
@@ -50,7 +57,7 @@
         self.hosts = [await Host(name, self._responder(turns)).start() for name, turns in self._turns.items()]
         return self.hosts
 
-    def _responder(self, turns: asyncio.Semaphore):  # type: ignore[no-untyped-def]
+    def _responder(self, turns: asyncio.Semaphore) -> Respond:
         async def respond(seen: Seen, writer: asyncio.StreamWriter) -> None:
             async with turns:
                 await asyncio.sleep(self._work_s)
@@ -89,17 +96,18 @@
     async def _ask(self, name: str, waits_s: float) -> int:
         """The answer's status; 0 if there was none, which the record tells."""
         began_s = time.monotonic()
-        status, trouble = 0, ""
-        try:
-            async with asyncio.timeout(waits_s + LOST_AFTER_S):
-                status = await self._exchange(name, waits_s)
-        except TimeoutError:
-            trouble = "no answer"
-        except (OSError, asyncio.IncompleteReadError) as error:
-            trouble = repr(error)
+        exchange = asyncio.ensure_future(self._exchange(name, waits_s))
+        await asyncio.wait({exchange}, timeout=waits_s + GIVES_UP_AFTER_S)
+        await asyncio.wait({exchange}, timeout=OWN_PAUSE_S)
         took_s = time.monotonic() - began_s
-        if trouble:
-            self.record.lost.append(f"{name} of {waits_s} s after {took_s:.2f} s: {trouble}")
+        status, which = 0, f"{name} of {waits_s} s after {took_s:.2f} s"
+        if not exchange.done():
+            exchange.cancel()
+            self.record.unanswered.append(which)
+        elif (error := exchange.exception()) is not None:
+            self.record.cut.append(f"{which}: {error!r}")
+        else:
+            status = exchange.result()
         self.record.statuses[str(status)] += 1
         self.record.latest_s = max(self.record.latest_s, took_s - waits_s)
         return status
