Tests of refusals at the listener; random faults with kept connections, crowds, series

The soak ended its clients with SIGTERM, its signals came one by one, and nobody filled the descriptors. Found by it: a write to a client that has gone, on the direct way, was an error in the log; it is none now.

--- a/cloverrouter/proxy/direct.py
+++ b/cloverrouter/proxy/direct.py
@@ -27,9 +27,12 @@
         self.ending = False  # nothing more is to be written
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Hand a short answer to the kernel. Raises OSError, also where it does not take all of it."""
-        if self._socket.send(data) < len(data):
-            raise BlockingIOError("the kernel does not take a short answer whole")
+        """Hand a short answer to the kernel, whose buffers are empty. An error is the client's end: it has
+        reset the connection, and nothing can be said to it any more."""
+        try:
+            self._socket.send(data)
+        except OSError:
+            self.ending = True
 
     def write_eof(self) -> None:
         self.ending = True
--- a/tests/faults/chaos/__main__.py
+++ b/tests/faults/chaos/__main__.py
@@ -25,7 +25,13 @@
 def well(seed: int, seconds: float) -> bool:
     outcome = asyncio.run(Chaos(seed, seconds).play())
     troubles = outcome.troubles()
-    line = {"seed": seed, "plan": outcome.plan, "troubles": troubles[:5], "statuses": outcome.statuses}
+    line = {
+        "seed": seed,
+        "plan": outcome.plan,
+        "troubles": troubles[:5],
+        "statuses": outcome.statuses,
+        "kept": [outcome.kept, outcome.kept_while_ending],
+    }
     print(json.dumps(line), flush=True)
     if troubles:
         print(outcome.log[-8000:], file=sys.stderr, flush=True)
--- a/tests/faults/chaos/plan.py
+++ b/tests/faults/chaos/plan.py
@@ -37,6 +37,8 @@
     faults: tuple[Fault, ...]
     short_io: bool  # reads and writes of a few bytes at a time
     upgrade: bool  # the process is replaced by another one half-way
+    crowd: bool  # idle clients fill the descriptors
+    series: bool  # signals come in quick succession
 
     @property
     def crowded(self) -> bool:
@@ -45,12 +47,17 @@
     @property
     def excused(self) -> bool:
         """May a connection be shut unanswered, all descriptors being held, or clients' made to fail?"""
-        return self.crowded or any(fault.side == "clients" for fault in self.faults)
+        return self.crowded or self.crowd or any(fault.side == "clients" for fault in self.faults)
 
     @property
     def shimmed(self) -> bool:
         return bool(self.faults) or self.short_io
 
+    @property
+    def killed_after_s(self) -> float:
+        """How soon after SIGTERM the platform may kill it: the longest deadline, or 3 s, and 0.7 s."""
+        return 0.7 + (0.4 if self.short_times else 3.0)
+
     def settings(self) -> dict[str, Any]:
         told = {"discovery": "subscribe" if self.subscribe else "push"}
         if not self.short_times:
@@ -77,4 +84,6 @@
         faults=faults,
         short_io=random.random() < 0.3,
         upgrade=random.random() < 0.25,
+        crowd=random.random() < 0.25,
+        series=random.random() < 0.5,
     )
--- a/tests/faults/chaos/run.py
+++ b/tests/faults/chaos/run.py
@@ -23,6 +23,7 @@
 from cloverrouter.lab.peers import Discovery, Host, Proxy, running
 from cloverrouter.lab.process import own_address
 from tests.faults.chaos.clients import Clients
+from tests.faults.chaos.kept import Crowd, KeptConnections, lost
 from tests.faults.chaos.plan import Plan, drawn
 from tests.faults.chaos.servers import Servers
 from tests.faults.tcp_proxy import Trouble, TroubledLink
@@ -43,6 +44,8 @@
     plan: str
     statuses: Counter[str] = field(default_factory=Counter)
     seen: list[str] = field(default_factory=list)  # troubles by what clients and servers saw
+    kept: int = 0  # requests answered on connections that are kept
+    kept_while_ending: int = 0  # of these after SIGTERM
     exit_codes: list[int] = field(default_factory=list)
     descriptors: int = 0
     memory_mb: float = 0.0
@@ -85,14 +88,17 @@
             link = await self._link(proxy.endpoint)
             through = [proxy.endpoint, ("127.0.0.1", link.port)]
             clients = Clients(self._random, through, self._plan.truthful, self._plan.excused)
+            kept = KeptConnections(self._random, proxy.endpoint)
+            keeping = asyncio.ensure_future(kept.run())
             proxies = await self._trouble(proxy, discovery, clients)
-            await self._end(proxies, clients)
-            self._judge(clients)
+            await self._end(proxies, clients, kept)
+            await keeping
+            self._judge(clients, kept)
         return self.outcome
 
     async def _proxy(self, discovery: Discovery) -> Proxy:
         plan, folder = self._plan, self._stack.enter_context(tempfile.TemporaryDirectory())
-        environ, command = {"TMPDIR": folder}, None
+        environ, command = {"TMPDIR": folder, "PROXY_TRACE": "1"}, None
         inherit: tuple[int, ...] = ()
         more: dict[str, Any] = {"limits": {"cores": 1.0, "memory_mb": 192, "sockets": plan.sockets}}
         if plan.shimmed:
@@ -136,19 +142,31 @@
         tasks += [clients.steady(), self._signals(proxies, until_s), self._lists(discovery, until_s)]
         if self._plan.upgrade:
             tasks.append(self._upgrade(proxies))
+        if self._plan.crowd:
+            tasks.append(self._crowd(proxy, until_s))
         await asyncio.gather(*tasks)
         return proxies
 
     async def _signals(self, proxies: list[Proxy], until_s: float) -> None:
         while time.monotonic() < until_s:
             await asyncio.sleep(self._random.uniform(0.05, 0.5))
-            proxy = proxies[-1]
-            if self._random.random() < 0.3:
-                proxy.signal(signal.SIGHUP)
-            else:
-                proxy.signal(signal.SIGSTOP)
-                await asyncio.sleep(self._random.choice((0.01, 0.05, 0.15)))
-                proxy.signal(signal.SIGCONT)
+            for _ in range(self._random.randrange(3, 8) if self._plan.series else 1):
+                await self._signal(proxies[-1])
+
+    async def _signal(self, proxy: Proxy) -> None:
+        if self._random.random() < 0.3:
+            proxy.signal(signal.SIGHUP)
+            return
+        proxy.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._random.choice((0.01, 0.05, 0.15)))
+        proxy.signal(signal.SIGCONT)
+
+    async def _crowd(self, proxy: Proxy, until_s: float) -> None:
+        crowd = Crowd(proxy.endpoint, 2 * self._plan.sockets)
+        crowding = asyncio.ensure_future(crowd.run())
+        await asyncio.sleep(until_s - time.monotonic())
+        crowd.over = True
+        await crowding
 
     async def _lists(self, discovery: Discovery, until_s: float) -> None:
         while time.monotonic() < until_s:
@@ -167,8 +185,8 @@
         old.signal(signal.SIGTERM)
         self.outcome.exit_codes.append(await old.ended())
 
-    async def _end(self, proxies: list[Proxy], clients: Clients) -> None:
-        """At rest; then told to end while clients go on."""
+    async def _end(self, proxies: list[Proxy], clients: Clients, kept: KeptConnections) -> None:
+        """Nearly at rest; then told to end while clients go on, on every connection that stays open."""
         await asyncio.sleep(0.5)
         proxy = proxies[-1]
         with suppress(OSError):
@@ -178,16 +196,32 @@
         tasks = [asyncio.ensure_future(clients.one()) for _ in range(WORKERS)]
         await asyncio.sleep(0.1)
         proxy.signal(signal.SIGTERM)
+        kept.ending = True
+        killing = asyncio.ensure_future(self._kill_at_the_earliest(proxy))
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM) if self._plan.series else ():
+            await asyncio.sleep(self._random.choice((0.0, 0.01, 0.2)))
+            proxy.signal(number)
         await asyncio.gather(*tasks)
         self.outcome.exit_codes.append(await proxy.ended())
+        killing.cancel()
         self.outcome.log = proxies[0].log()
 
-    def _judge(self, clients: Clients) -> None:
+    async def _kill_at_the_earliest(self, proxy: Proxy) -> None:
+        """As the platform does. What is not answered by then is lost."""
+        await asyncio.sleep(self._plan.killed_after_s)
+        if proxy.up:
+            self.outcome.seen.append("it was still there when it was killed")
+            proxy.signal(signal.SIGKILL)
+
+    def _judge(self, clients: Clients, kept: KeptConnections) -> None:
         self.outcome.statuses = clients.statuses
         seen = self.outcome.seen
         seen += [f"{name} ran twice" for name in self._servers.ran_twice()]
         seen += [f"no client has sent {what}" for what in self._servers.strange]
         seen += [f"no answer for {what}" for what in clients.unanswered]
+        self.outcome.kept, self.outcome.kept_while_ending = kept.answered, kept.answered_while_ending
+        if not self._plan.excused:
+            seen += [f"no answer for {what}" for what in lost(kept.unanswered, self.outcome.log)]
         seen += [f"late: {what}" for what in clients.late]
         seen += [f"not its answer: {what}" for what in clients.mixed_up]
 
--- a/tests/faults/overload.py
+++ b/tests/faults/overload.py
@@ -125,6 +125,13 @@
                 writer.transport.abort()
 
 
+class HungServers(LimitedServers):
+    """Servers that never answer."""
+
+    def __init__(self, count: int) -> None:
+        super().__init__(count, 1, 3600.0)
+
+
 async def pause(proxy: Proxy, seconds: float) -> None:
     """Hold the process up once."""
     proxy.signal(signal.SIGSTOP)
--- a/tests/faults/test_chaos.py
+++ b/tests/faults/test_chaos.py
@@ -16,3 +16,4 @@
     outcome = asyncio.run(Chaos(seed, SECONDS).play())
     assert not outcome.troubles(), outcome.log
     assert outcome.statuses.total() >= 20, outcome.statuses
+    assert outcome.kept >= 20, outcome.kept
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,260 @@
+"""The listener when there is no room, or no time: who is refused, who goes on, and how requests are dated."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+import struct
+import time
+from typing import Any
+
+import pytest
+
+from cloverrouter.proxy import wake
+from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.load import RefusalReason
+from cloverrouter.proxy.wake import Loop, data_age_s
+from tests.test_upstream import until
+from tests.test_wake import play
+from tests.test_waking_front import connect, front_of, request
+
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER with no time: close(2) sends RST
+
+
+async def answer_on(loop: Loop, client: socket.socket) -> bytes:
+    client.setblocking(False)
+    async with asyncio.timeout(10):
+        return await loop.sock_recv(client, 1000)
+
+
+def overload(monkeypatch: pytest.MonkeyPatch, frontend: Frontend) -> list[bool]:
+    """Have the loop count as overloaded as long as the list that is returned says so."""
+    state = [True]
+    monkeypatch.setattr(frontend.wake.overload, "is_overloaded", lambda now_s: state[0])
+    return state
+
+
+def test_overloaded_process_refuses_at_once_and_the_decisions_see_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        kept = connect(address, b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await answer_on(loop, kept)).startswith(b"HTTP/1.1 200")
+        state = overload(monkeypatch, frontend)
+        clients = [connect(address, request(f"r{i}")) for i in range(40)]
+        kept.send(request("kept"))
+        for client in (*clients, kept):
+            assert (await answer_on(loop, client)).startswith(b"HTTP/1.1 503")
+        assert not held.calls and frontend.load.total["refused_overloaded"] == 41
+        assert frontend.count <= 1  # those that were refused hold nothing
+        state[0] = False
+        last = connect(address, request("last"))
+        await until(lambda: held.calls)
+        held.calls.pop().reply(200, b"")
+        assert (await answer_on(loop, last)).startswith(b"HTTP/1.1 200")
+        for one in (*clients, kept, last):
+            one.close()
+
+    play(scene)
+
+
+def test_readiness_is_answered_in_an_overload(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, _, address = await front_of(loop, 8)
+        overload(monkeypatch, frontend)
+        client = connect(address, b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await answer_on(loop, client)).startswith(b"HTTP/1.1 200")
+        client.close()
+
+    play(scene)
+
+
+def test_request_of_which_a_part_has_come_is_refused_when_it_is_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        overload(monkeypatch, frontend)
+        whole = request("r0", bytes(2000))
+        client = connect(address, whole[:60])
+        await until(lambda: frontend.count == 1)
+        client.sendall(whole[60:])
+        assert (await answer_on(loop, client)).startswith(b"HTTP/1.1 503")
+        assert not held.calls
+        client.close()
+
+    play(scene)
+
+
+def test_request_of_which_a_part_has_come_is_served_when_there_is_time_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        state = overload(monkeypatch, frontend)
+        client = connect(address, request("r0")[:30])
+        await until(lambda: frontend.count == 1)
+        state[0] = False
+        client.sendall(request("r0")[30:])
+        await until(lambda: held.calls)
+        assert held.calls[0].request_id == b"r0"
+        held.calls.pop().reply(200, b"")
+        assert (await answer_on(loop, client)).startswith(b"HTTP/1.1 200")
+        client.close()
+
+    play(scene)
+
+
+def test_bytes_behind_a_refused_request_do_not_destroy_its_answer() -> None:
+    """Closing over unread bytes sends RST (RFC 9112, 9.6): they are read and dropped first."""
+
+    async def scene(loop: Loop) -> None:
+        _, held, address = await front_of(loop, 4)
+        busy = [connect(address, request(f"busy{i}")) for i in range(4)]
+        await until(lambda: len(held.calls) == 4)
+        client = connect(address, request("r0") + request("r1", bytes(60_000)) + request("r2", bytes(60_000)))
+        answers = b""
+        while piece := await answer_on(loop, client):
+            answers += piece
+        assert answers.startswith(b"HTTP/1.1 503") and len(held.calls) == 4
+        for one in (*busy, client):
+            one.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_client_that_has_gone_before_it_is_refused_is_no_error(
+    reset: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, _, address = await front_of(loop, 8)
+        overload(monkeypatch, frontend)
+        for data in (b"", request("r0")[:20], request("r1")):
+            client = connect(address, data)
+            if reset:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            client.close()
+        await until(lambda: frontend._number == 3)
+        await until(lambda: frontend.count == 0)
+        assert not frontend.errors.counts
+
+    play(scene)
+
+
+def test_connection_that_asks_nothing_where_all_are_busy_ends_soon() -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 4)
+        busy = [connect(address, request(f"r{i}")) for i in range(4)]
+        await until(lambda: len(held.calls) == 4)
+        silent = [connect(address) for _ in range(12)]
+        for client in silent:
+            assert await answer_on(loop, client) == b""
+        asking = connect(address, request("last"))
+        assert (await answer_on(loop, asking)).startswith(b"HTTP/1.1 503")
+        assert frontend.load.total["refused_no_capacity"] == 1 and len(held.calls) == 4
+        for one in (*busy, *silent, asking):
+            one.close()
+
+    play(scene)
+
+
+def test_refused_client_is_told_when_to_come_back() -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 4)
+        frontend.gate.retry_after_ms = 100.0
+        busy = [connect(address, request(f"r{i}")) for i in range(4)]
+        await until(lambda: len(held.calls) == 4)
+        client = connect(address, request("last"))
+        assert b"Retry-After: 0.100" in await answer_on(loop, client)
+        for one in (*busy, client):
+            one.close()
+
+    play(scene)
+
+
+def test_request_whose_time_is_over_when_it_is_read_is_refused_unseen() -> None:
+    """Its client may have come again by then: what has an effect would run twice for it."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        wanted = request("r0").replace(b"\r\n\r\n", b"\r\nX-Timeout-Ms: 50\r\n\r\n")
+        client = connect(address, wanted)
+        other = connect(address, request("r1"))
+        time.sleep(0.3)
+        assert (await answer_on(loop, client)).startswith(b"HTTP/1.1 503")
+        await until(lambda: held.calls)
+        assert [call.request_id for call in held.calls] == [b"r1"]
+        assert frontend.load.total[f"refused_{RefusalReason.EXPIRED.value}"] == 1
+        client.close()
+        other.close()
+
+    play(scene)
+
+
+class Unwilling:
+    """A listening socket of which accept(2) fails for want of descriptors until it is told otherwise."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock, self.failing = sock, True
+
+    def accept(self) -> Any:
+        if self.failing:
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        return self._sock.accept()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+
+def test_time_in_the_queue_counts_while_accepting_rests() -> None:
+    """Without a descriptor nobody is accepted for 0.2 s at a time, though the loop is at its sockets."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        listener = frontend.listener
+        assert listener._socket is not None
+        unwilling = Unwilling(listener._socket)
+        listener._socket = unwilling  # type: ignore[assignment]
+        came_ms = loop.time() * 1000
+        client = connect(address, request("r0"))
+        await asyncio.sleep(0.5)
+        unwilling.failing = False
+        await until(lambda: held.calls)
+        call = held.calls[0]
+        assert call.late and call.arrived_ms < came_ms + 100
+        client.close()
+        listener._socket = unwilling._sock
+
+    play(scene)
+
+
+@pytest.mark.parametrize(
+    ("told", "age_s"),
+    [
+        (bytes(56), None),
+        (bytes([1]) + bytes(55), None),  # a state, and nothing else
+        (bytes([1]) + bytes(7) + struct.pack("=I", 200_000) + bytes(40) + struct.pack("=I", 40), 0.04),
+        (bytes([1]) + bytes(7) + struct.pack("=I", 200_000) + bytes(44), 0.0),
+        (bytes(20), None),
+    ],
+)
+def test_age_of_data_is_believed_only_of_a_filled_tcp_info(told: bytes, age_s: float | None) -> None:
+    class Told:
+        def getsockopt(self, *what: object) -> bytes:
+            return told
+
+    assert data_age_s(Told()) == age_s  # type: ignore[arg-type]
+
+
+def test_real_connection_fills_what_tcp_info_is_believed_by() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server, connect(server.getsockname(), b"x") as client:
+        accepted, _ = server.accept()
+        with accepted:
+            told = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, wake.INFO_BYTES)
+            assert any(told[wake.RETRANSMIT_TIMEOUT])
+            assert data_age_s(accepted) is not None
+        client.close()
