--- a/cloverrouter/proxy/accept_rules.py
+++ b/cloverrouter/proxy/accept_rules.py
@@ -11,6 +11,8 @@
 MOST_DEFERRED_S = 0.05
 # A process that is held up again and again would leave them there again and again.
 DEFERRED_AGAIN_S = 1.0
+# After a long pause what is over makes room as it is read: those that still have time may wait longer.
+DEFERRED_PART, MOST_DEFERRED_LONG_S = 8, 0.75  # so small a part of the pause, and no longer
 
 
 class AcceptDeferral:
@@ -19,8 +21,10 @@
     def __init__(self) -> None:
         self._began_s = float("-inf")
 
-    def allows(self, now_s: float) -> bool:
-        """May it wait now? The first call begins the time for which it may."""
+    def allows(self, now_s: float, pause_s: float = 0.0) -> bool:
+        """May it wait now? The first call begins the time for which it may. `pause_s`: how long the process
+        has just been paused."""
         if now_s - self._began_s >= DEFERRED_AGAIN_S:
             self._began_s = now_s
-        return now_s - self._began_s < MOST_DEFERRED_S
+        longer_s = min(MOST_DEFERRED_LONG_S, pause_s / DEFERRED_PART)
+        return now_s - self._began_s < max(MOST_DEFERRED_S, longer_s)
--- a/cloverrouter/proxy/listener.py
+++ b/cloverrouter/proxy/listener.py
@@ -35,6 +35,7 @@
 RETRY_S = 0.2  # without a descriptor
 POLL_S = 0.005
 ACCEPT_REST_S = 3.0  # at most, for those that have connected when the listener is about to close
+RECENT_S = 1.0  # since a pause
 RECOVERY_SHARE = 0.5  # of the connections: past more, requests that wait for servers make room by a refusal
 # A connection that is there to be refused, and has asked nothing yet, is left for so long while others wait
 # for its place, and while none does.
@@ -216,13 +217,18 @@
                 return DeferReason.BEING_ACCEPTED  # the loop has them in its next steps
             if frontend.eviction.unread:
                 reason = DeferReason.UNREAD_REQUESTS
-        if reason is None or not self._deferral.allows(self._loop.time()):
+        if reason is None or not self._deferral.allows(self._loop.time(), self._recent_pause_s()):
             return None
         self.deferred = self._left_queued = True
         if reason is DeferReason.RECOVERING:
             self._rest(MOST_DEFERRED_S / 2)
         return reason
 
+    def _recent_pause_s(self) -> float:
+        """How long the process was paused, where that is just over."""
+        gap = self._wake.standing.last
+        return gap.span_s if gap is not None and self._loop.time() - gap.to_s < RECENT_S else 0.0
+
     def _has_room(self) -> bool:
         return not self._frontend.is_full() or self._frontend.could_evict()
 
