--- a/tests/test_overload_rules.py
+++ b/tests/test_overload_rules.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from cloverrouter.proxy.accept_rules import DEFERRED_AGAIN_S, MOST_DEFERRED_S, AcceptDeferral
+from cloverrouter.proxy.accept_rules import (
+    DEFERRED_AGAIN_S,
+    MOST_DEFERRED_LONG_S,
+    MOST_DEFERRED_S,
+    AcceptDeferral,
+)
 from cloverrouter.proxy.overload import (
     MOST_BEHIND_S,
     MOST_RECOVERY_S,
@@ -31,6 +36,14 @@
     assert 400 <= waits <= 600
 
 
+def test_after_a_long_pause_accepting_may_wait_longer_and_after_a_short_one_not() -> None:
+    for pause_s, most_s in ((0.15, MOST_DEFERRED_S), (4.0, 0.5), (60.0, MOST_DEFERRED_LONG_S)):
+        deferral = AcceptDeferral()
+        assert deferral.allows(BEGIN_S, pause_s)
+        assert deferral.allows(BEGIN_S + most_s - 0.001, pause_s)
+        assert not deferral.allows(BEGIN_S + most_s + 0.001, pause_s)
+
+
 def detector() -> OverloadDetector:
     found = OverloadDetector()
     found.caught_up(BEGIN_S)
