--- a/tests/faults/overload.py
+++ b/tests/faults/overload.py
@@ -41,14 +41,21 @@
     def check(self, log: str) -> None:
         """No request is lost, as the users count it. A connection may be ended while a request is on its way,
         which its client sends once more; one that has been read, as the trace in `log` tells, is lost."""
-        assert not lost([which.split()[0] for which in self.cut], log), self.summary()
-        assert len(self.unanswered) <= LOST_SHARE * self.statuses.total(), self.summary()
+        evidence = "\n".join((self.summary(), *load_lines(log)))
+        assert not lost([which.split()[0] for which in self.cut], log), evidence
+        assert len(self.unanswered) <= LOST_SHARE * self.statuses.total(), evidence
 
     def summary(self) -> str:
         lost = f"{len(self.unanswered)} unanswered {self.unanswered[:3]}, {len(self.cut)} cut {self.cut[:3]}"
         return f"{dict(self.statuses)}; {lost}; at most {self.latest_s:.2f} s late"
 
 
+def load_lines(log: str) -> list[str]:
+    """What the process says of each second: who waited to be accepted, how long it was paused, its processor
+    time; and its pauses of note."""
+    return [line for line in log.splitlines() if "front_load" in line or "stood still" in line]
+
+
 class LimitedServers:
     """Servers that work on `at_once` requests each for `work_s`; others wait there for their turn."""
 
--- a/tests/faults/test_overload.py
+++ b/tests/faults/test_overload.py
@@ -56,6 +56,7 @@
         clients, log, share = asyncio.run(overloaded(trouble))
         if trouble is paused_once or share >= LEAST_SHARE or not clients.record.unanswered:
             break
+        print(f"lost some with {share:.3f} of the processor: {clients.record.summary()}")
     assert clients.record.statuses["200"] >= 50, clients.record.summary()
     assert clients.record.statuses["503"] >= 300, clients.record.summary()
     clients.record.check(log)
