--- a/tests/faults/overload.py
+++ b/tests/faults/overload.py
@@ -1,5 +1,4 @@
-"""An overload round one real proxy: servers of little capacity, clients that retry on new connections, and a
-proxy that gets a short share of the processor.
+"""An overload round one real proxy: servers of little capacity, clients that retry on new connections.
 
 A run is judged by what clients saw: each request has to get its final answer.
 """
@@ -8,16 +7,13 @@
 
 import asyncio
 import itertools
-import os
-import signal
 import time
 from collections import Counter
 from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
-from pathlib import Path
 
-from cloverrouter.lab.peers import Host, Proxy, Respond, Seen, ok, read_message
+from cloverrouter.lab.peers import Host, Respond, Seen, ok, read_message
 from tests.faults.chaos.kept import lost
 
 Address = tuple[str, int]
@@ -38,12 +34,13 @@
     cut: list[str] = field(default_factory=list)  # connections that ended without a whole answer
     latest_s: float = 0.0  # by how much an answer came after its request's time, at most
 
-    def check(self, log: str) -> None:
+    def check(self, log: str, evidence: str = "") -> None:
         """No request is lost, as the users count it. A connection may be ended while a request is on its way,
-        which its client sends once more; one that has been read, as the trace in `log` tells, is lost."""
-        evidence = "\n".join((self.summary(), *load_lines(log)))
-        assert not lost([which.split()[0] for which in self.cut], log), evidence
-        assert len(self.unanswered) <= LOST_SHARE * self.statuses.total(), evidence
+        which its client sends once more; one that has been read, as the trace in `log` tells, is lost.
+        `evidence`: what else may tell why."""
+        found = "\n".join((self.summary(), evidence, *load_lines(log)))
+        assert not lost([which.split()[0] for which in self.cut], log), found
+        assert len(self.unanswered) <= LOST_SHARE * self.statuses.total(), found
 
     def summary(self) -> str:
         lost = f"{len(self.unanswered)} unanswered {self.unanswered[:3]}, {len(self.cut)} cut {self.cut[:3]}"
@@ -134,24 +131,3 @@
         finally:
             with suppress(OSError):
                 writer.transport.abort()
-
-
-async def pause(proxy: Proxy, seconds: float) -> None:
-    """Hold the process up once."""
-    proxy.signal(signal.SIGSTOP)
-    await asyncio.sleep(seconds)
-    proxy.signal(signal.SIGCONT)
-
-
-def cpu_s(proxy: Proxy) -> float:
-    """Processor time that the process has had, in seconds (proc(5), `stat`)."""
-    fields = Path(f"/proc/{proxy.process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-async def starve(proxy: Proxy, seconds: float, runs_s: float, rests_s: float) -> None:
-    """Let the process run for `runs_s` and rest for `rests_s` in turn."""
-    until_s = time.monotonic() + seconds
-    while time.monotonic() < until_s:
-        await pause(proxy, rests_s)
-        await asyncio.sleep(runs_s)
