Cold servers are fed by what warm ones take, not by all that these are sent

Cause: Balancer._send counted as a warm server's work whatever it was sent, divided by the warm ones with room. Full servers turn away at once and are sent more at once, so in an overload the rate rose to many times of what they can, and cold servers were sent by it. Change: WarmRate caps it at 1.75 times of what warm servers take: less what they turn away, over all warm ones of the window that nothing speaks against.

--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -50,7 +50,7 @@
     TimerFired,
     Why,
 )
-from cloverrouter.membership.decay import Decaying, Pool, WorkRate
+from cloverrouter.membership.decay import Decaying, Pool, WarmRate, WorkRate
 from cloverrouter.membership.evidence import Evidence, Fleet, Suspects
 from cloverrouter.membership.releases import SHOWN_SPAN, Release, Shown, cold_rate
 from cloverrouter.membership.rings import Rings, ring_key
@@ -374,6 +374,7 @@
         self.pool = Pool()  # what they have earned, and how slow they are
         self.suspects: Suspects[Endpoint] = Suspects()  # the ready ones that enough speaks against
         self.last_number = 0
+        self.window_warm = 0  # the warm ones, full or not, of the window last looked at
 
     @property
     def ready(self) -> list[Endpoint]:
@@ -460,13 +461,15 @@
         `place` (0 to 1) of each zone's ring on; a doubted one is replaced by the next. Danger: were full ones
         replaced, an overload would have each server met by ever more who do not know yet how full it is."""
         found: list[Endpoint] = []
-        spare = LOOK
+        spare, warm = LOOK, 0
         for ring, share in self.rings.zones(self.settings.zone, place, LOOK):
             wanted = min(len(ring), ceil(size * share - 1e-9)) if share > 1e-9 else 0
             start, weight, kept, mine = int(place * len(ring)), 0.0, 0, []
             for i in range(min(len(ring), wanted + spare) if wanted else 0):
                 e = ring[(start + i) % len(ring)]
-                kept += not e.doubted(now_ms)
+                if not e.doubted(now_ms):
+                    kept += 1
+                    warm += not e.evidence.against and e.warmth(now_ms, self.settings.safety) >= 1
                 if e.has_room(now_ms):
                     mine.append(e)
                     weight += e.weight
@@ -476,6 +479,7 @@
             for e in mine:
                 e.share = share * (e.weight / weight if weight else 1 / len(mine))
             found += mine
+        self.window_warm = warm
         return found
 
 
@@ -649,7 +653,7 @@
         self.peak_rate = 0.0  # highest work rate of a warm server, fading
         self.peak_ms = 0.0
         self.release = Release()
-        self.work_rate = WorkRate(RATE_WINDOWS * settings.safety.push_window_ms)
+        self.work_rate = WarmRate(RATE_WINDOWS * settings.safety.push_window_ms)
         self.longest_deadline_ms = max((c.deadline_ms for c in settings.classes), default=DEFAULT_DEADLINE_MS)
         self.arrivals = WorkRate(WINDOW_SPANS * self.longest_deadline_ms)
         number = settings.number
@@ -1066,7 +1070,7 @@
         if endpoint.warmth(self.now_ms, safety) < 1:
             endpoint.cold_credit -= request.work
         else:
-            self.work_rate.add(self.now_ms, request.work / max(1, self.window_warm))
+            self.work_rate.sent(self.now_ms, request.work, self.window_warm, self.membership.window_warm)
         self._drop_timer(request)
         # Danger: a repeat whose connection comes up late would go out after its key is forgotten.
         within_ms = min(request.repeats_end_ms() - self.now_ms, TRIAL_MS if fresh else float("inf"))
@@ -1138,6 +1142,9 @@
 
     def _learn(self, request: Request, attempt: Attempt, event: AttemptEnded, full: float) -> None:
         outcome, cls, latency_ms = attempt.outcome, request.cls, event.latency_ms
+        warm = attempt.endpoint.warmth(self.now_ms, self.settings.safety) >= 1
+        if outcome is Outcome.REJECTED and warm:
+            self.work_rate.turned_away(self.now_ms, request.work, self.membership.window_warm)
         if outcome is Outcome.OK:
             self.budget.earn()
             self.served_ms, self.trouble = self.now_ms, False
--- a/cloverrouter/membership/decay.py
+++ b/cloverrouter/membership/decay.py
@@ -12,6 +12,9 @@
 # Danger: a scale that shrinks with each step is zero some day, and a distance divided by it is lost. Below
 # this it starts anew at one; a distance that has not been touched for two such rounds is less than rounding.
 SCALE_LEAST = 2.0**-64
+# Of what is sent to warm servers this many times what they take counts at most: some of what is turned away
+# would be taken by a server with room.
+SENT_MOST = 1.75
 RATE_SEEN_LEAST = 1 / 16  # of a rate's span: from then on what was seen counts for the rest
 
 
@@ -155,3 +158,37 @@
         # Danger: a proxy that has just started would take what it has sent for a whole span's, and cold
         # servers would get next to nothing for as long. A few requests are no rate yet.
         return self._sum / (self.span_ms * max(self._seen, RATE_SEEN_LEAST))
+
+
+class WarmRate:
+    """The work that an average warm server gets from this proxy.
+
+    Danger: in an overload few servers have room at a time, and full ones turn away at once and are sent more
+    at once. What is sent to those with room then says little of what a server can do: what all of them take
+    does.
+    """
+
+    def __init__(self, span_ms: float) -> None:
+        self._sent, self._taken = WorkRate(span_ms), WorkRate(span_ms)
+
+    @property
+    def span_ms(self) -> float:
+        """What is seen is smoothed over so long."""
+        return self._sent.span_ms
+
+    @span_ms.setter
+    def span_ms(self, span_ms: float) -> None:
+        self._sent.span_ms = self._taken.span_ms = span_ms
+
+    def sent(self, now_ms: float, work: float, with_room: int, warm: int) -> None:
+        """So much was sent to a warm server, of which there are `warm` and `with_room` among them."""
+        self._sent.add(now_ms, work / max(1, with_room))
+        self._taken.add(now_ms, work / max(1, with_room, warm))
+
+    def turned_away(self, now_ms: float, work: float, warm: int) -> None:
+        """So much of what was sent has not been taken."""
+        self._taken.add(now_ms, -work / max(1, warm))
+
+    def per_ms(self, now_ms: float) -> float:
+        """What was sent, or `SENT_MOST` times what was taken, if that is less."""
+        return min(self._sent.per_ms(now_ms), SENT_MOST * max(0.0, self._taken.per_ms(now_ms)))
--- a/tests/membership/test_decay.py
+++ b/tests/membership/test_decay.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cloverrouter.membership.decay import SCALE_LEAST, Decaying, Pool
+from cloverrouter.membership.decay import SCALE_LEAST, SENT_MOST, Decaying, Pool, WarmRate
 
 
 @dataclass
@@ -148,3 +148,40 @@
     last = Decaying(pool, 0.25, 2.0)
     last.settle(True, True)
     assert pool.means() == (0.25, 2.0)
+
+
+SPAN_MS = 1000.0
+
+
+def rate_of(with_room: int, warm: int, turned_away: float) -> float:
+    """Of a proxy that sends 10 ms of work each 10 ms to one of `with_room` servers out of `warm` ones; the
+    part `turned_away` of it is turned away 1 ms later."""
+    rate = WarmRate(SPAN_MS)
+    for at_ms in range(0, 5000, 10):
+        rate.sent(at_ms, 10.0, with_room, warm)
+        rate.turned_away(at_ms + 1, 10.0 * turned_away, warm)
+    return rate.per_ms(5000.0)
+
+
+def test_work_that_is_taken_counts_whole() -> None:
+    assert rate_of(4, 4, 0.0) == pytest.approx(1 / 4, rel=0.05)
+    assert rate_of(4, 4, 0.3) == pytest.approx(1 / 4, rel=0.05)  # some would be taken by one with room
+
+
+def test_what_full_servers_turn_away_does_not_raise_the_rate() -> None:
+    """Danger: they are sent more at once, and cold servers would be sent as much as that."""
+    assert rate_of(4, 4, 0.9) == pytest.approx(SENT_MOST * 0.1 / 4, rel=0.1)
+    assert rate_of(4, 4, 1.0) < 0.01
+
+
+def test_what_few_with_room_are_sent_is_not_what_each_warm_server_can_do() -> None:
+    assert rate_of(1, 8, 0.0) == pytest.approx(SENT_MOST / 8, rel=0.05)
+
+
+def test_what_was_taken_never_falls_below_nothing() -> None:
+    rate = WarmRate(SPAN_MS)
+    rate.sent(0.0, 10.0, 4, 4)
+    rate.turned_away(1.0, 10.0, 1)  # the window has become smaller meanwhile
+    assert rate.per_ms(2.0) == 0.0
+    rate.span_ms = 500.0
+    assert rate.span_ms == 500.0
