A request read ahead of the loop is given up where the loop can't take its connection

A request may be read as its connection is accepted (proxy/direct.py); where the loop then can't take the connection (epoll_ctl(2), no memory), its id stayed among the waiting ones for good, and its client's next try with that id was turned back. Change: Listener._attach ends the connection's state, too. A test that fails without it, and without the guard that hands nothing over before the loop has the connection.

--- a/cloverrouter/proxy/listener.py
+++ b/cloverrouter/proxy/listener.py
@@ -181,7 +181,9 @@
             log.warning("a connection was lost while it was accepted: %s", error)
         except Exception as error:
             self._errors.report("client_accept", error)
-        self._refusing.pop(connection, None)
+        connection.connection_lost(
+            None
+        )  # danger: it may have read a request, whose id would be taken for good
         close(sock)
 
     def ended(self, connection: ClientConnection) -> None:
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import time
+from contextlib import suppress
 from typing import Any
 
 import pytest
@@ -265,6 +266,36 @@
     play(scene)
 
 
+def test_request_of_a_connection_that_the_loop_can_not_take_reaches_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It has waited, and is read as it is accepted. Handed over then, it would run for nobody."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+
+        async def fail(*_: Any) -> Any:
+            raise OSError(errno.ENOMEM, "epoll_ctl")
+
+        handed_over: list[object] = []
+        monkeypatch.setattr(held, "arrived", handed_over.append)
+        monkeypatch.setattr(loop, "connect_accepted_socket", fail)
+        lost = connect(address, request("lost"))
+        time.sleep(0.1)  # longer than it takes the loop to come by
+        with suppress(ConnectionResetError):
+            assert await answer_on(loop, lost) == b""
+        assert not handed_over
+        assert not frontend.gate.waiting_ids  # or its client could not send it once more
+        assert not frontend.busy
+        monkeypatch.undo()
+        again = connect(address, request("lost"))
+        await until(lambda: held.calls)
+        for client in (lost, again):
+            client.close()
+
+    play(scene)
+
+
 class Unwilling:
     """A listening socket of which accept(2) fails for want of descriptors until it is told otherwise."""
 
