Test: clients that go on coming do not keep a drain from its end

The last of the guards taken out by hand that no test had found: accept_rest without the drain's end.

--- a/tests/endings/test_front.py
+++ b/tests/endings/test_front.py
@@ -232,6 +232,19 @@
     play(scene)
 
 
+def test_clients_that_go_on_coming_do_not_keep_a_drain_from_its_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Danger: a crowd connects faster than it is accepted, and the process would be killed meanwhile."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, _ = await front_of(loop, 8)
+        monkeypatch.setattr(frontend.listener, "accept", lambda: True)  # there are always more
+        began_s = loop.time()
+        await drain(frontend, held, False, None, 1.2)  # type: ignore[arg-type]
+        assert loop.time() - began_s < 1.2
+
+    play(scene)
+
+
 def test_what_comes_late_in_a_drain_is_decided_before_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """Also a request that gives no time of its own; what came before keeps all of its time."""
 
