client_connection.py: calls and answers are modules of their own

ClientCall is in client_call.py; whole and long answers as bytes in client_answers.py (Passing is LongAnswer). No change of what it does.

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -9,13 +9,14 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Mapping
 from enum import Enum
 from functools import partial
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
+from cloverrouter.proxy.client_answers import LongAnswer, encode_answer, encode_long_head
+from cloverrouter.proxy.client_call import ClientCall
 from cloverrouter.proxy.direct import DirectTransport
 from cloverrouter.proxy.load import RefusalReason
 from cloverrouter.proxy.messages import (
@@ -28,7 +29,7 @@
 )
 from cloverrouter.proxy.overload import MOST_BEHIND_S
 from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed
-from cloverrouter.proxy.validity import HEALTH, Head, ParsedCall
+from cloverrouter.proxy.validity import HEALTH, Head
 from cloverrouter.proxy.wake import data_age_s
 
 if TYPE_CHECKING:
@@ -54,30 +55,6 @@
 UNREAD_S = 3.0  # for an answer of which its client reads nothing
 UNREADABLE_S = 1.0  # that something may lie unread on a connection with nothing else on it
 STALL_S = 10.0  # the same for a long one, of which it has read some
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-}
-
-
-def encode(status: int, body: bytes, headers: bytes, close: bool) -> bytes:
-    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
-        status,
-        REASONS.get(status, b"Error"),
-        headers,
-        len(body),
-        b"Connection: close\r\n" if close else b"",
-        body,
-    )
 
 
 class Stage(Enum):
@@ -89,31 +66,6 @@
     ENDED = "ended"  # its last answer is out
 
 
-class ClientCall(ParsedCall):
-    __slots__ = ("_client", "keep_alive", "old", "upload")
-
-    def __init__(
-        self, client: ClientConnection, method: bytes, target: bytes, head: Mapping[bytes, bytes], body: bytes
-    ) -> None:
-        super().__init__(method, target, head, body)
-        self._client = client
-        self.keep_alive = True
-        self.old = False  # HTTP/1.0: knows no chunks
-        self.upload: Upload | None = None
-
-    def reply(self, status: int, body: bytes, content_type: bytes = b"", retry_after: bytes = b"") -> None:
-        headers = b"Content-Type: %b\r\n" % content_type if content_type else b""
-        if retry_after:
-            headers += b"Retry-After: %b\r\n" % retry_after
-        self._client.answer(self, status, body, headers)
-
-    def left(self) -> bool:
-        return self._client.left(self)
-
-    def begin(self, answer: Answer) -> AnswerSink | None:
-        return self._client.begin(self, answer)
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of the application. Its calls are handled one after the other."""
 
@@ -139,7 +91,7 @@
         self.since_s = frontend.ran_s()
         self._coming: ClientCall | None = None  # the rest of its body is passed on as it comes
         self._over: list[tuple[ClientCall, bytes]] = []  # whose rest came in the bytes read just now
-        self._passing: Passing | None = None  # a long answer
+        self._passing: LongAnswer | None = None  # a long answer
         self._held_back = False  # it is not read from: what it sent has not gone on yet
         self._claimed = 0  # bytes of the open calls' bodies out of the budget for all
         self._written = self._taken = 0  # bytes of long answers, and as many as it had read at last
@@ -436,7 +388,7 @@
                 self._answer_early(status, headers)
                 return
             close = self._closing(call)
-            self._transport.write(encode(status, body, headers + self._gate.alt_svc, close))
+            self._transport.write(encode_answer(status, body, headers + self._gate.alt_svc, close))
             self._answered(close)
         except Exception as error:
             self.fail("client_answer", error)
@@ -482,7 +434,7 @@
         """Before the call's last byte: the rest is read and dropped, or it would overtake the answer."""
         assert self._transport is not None
         self._open = self._coming = None
-        self._say_last(encode(status, b"", headers, True))
+        self._say_last(encode_answer(status, b"", headers, True))
 
     def begin(self, call: ClientCall, answer: Answer) -> AnswerSink | None:
         """A long answer, passed on as it comes."""
@@ -497,15 +449,9 @@
     def _begin_passing(self, transport: asyncio.Transport, call: ClientCall, answer: Answer) -> AnswerSink:
         chunked = answer.length is None and not call.old
         close = self._closing(call) or (answer.length is None and call.old)
-        kind = b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
-        kind += self._gate.alt_svc
-        framing = b"Transfer-Encoding: chunked\r\n" if chunked else b""
-        if answer.length is not None:
-            framing = b"Content-Length: %d\r\n" % answer.length
-        end = b"Connection: close\r\n" if close else b""
-        transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (kind, framing, end))
+        transport.write(encode_long_head(answer, self._gate.alt_svc, chunked, close))
         transport.set_write_buffer_limits(high=PASSING_BYTES)
-        self._passing = Passing(self, chunked, close)
+        self._passing = LongAnswer(self, chunked, close)
         return self._passing
 
     def pass_on(self, data: bytes) -> bool:
@@ -548,7 +494,7 @@
             self._frontend.observer.turned_away(status)
         self._withdraw()
         self._reset()
-        self._say_last(encode(status, b"", b"", True))
+        self._say_last(encode_answer(status, b"", b"", True))
 
     def _say_last(self, answer: bytes) -> None:
         """The last answer; what its client still sends is dropped for a while."""
@@ -693,22 +639,3 @@
         if self._unread_from_s is None:
             self._unread_from_s = now_s
         return now_s - self._unread_from_s > UNREADABLE_S
-
-
-class Passing:
-    """A long answer on its way to a client: an `AnswerSink`."""
-
-    def __init__(self, client: ClientConnection, chunked: bool, close: bool) -> None:
-        self._client, self._chunked, self._close = client, chunked, close
-        self.on_ready: Callable[[], None] | None = None
-
-    def write(self, data: bytes) -> bool:
-        return self._client.pass_on(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
-
-    def finish(self) -> None:
-        if self._chunked:
-            self._client.pass_on(b"0\r\n\r\n")
-        self._client.passed(self._close)
-
-    def cut(self) -> None:
-        self._client.cut()
