node.py: lag, carrier, load reports and open requests are modules of their own

Cause: the file had grown to 744 lines and held several jobs. Try is OpenAttempt, Request is OpenRequest. No change of what it does.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -27,11 +27,11 @@
 from cloverrouter.http3.ways import HANDSHAKES, Speech, choose, leads_nowhere
 from cloverrouter.http3.wire import Away, Http3Client, Malformed, NetworkAddress, QuicClient
 from cloverrouter.interface import Outcome, Sign
+from cloverrouter.proxy.carrier import Carrier as PlainCarrier
+from cloverrouter.proxy.carrier import Sent
 from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import missing, room_of
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
-from cloverrouter.proxy.node import Carrier as PlainCarrier
-from cloverrouter.proxy.node import Sent
 from cloverrouter.proxy.upstream import IDLE_SHARE, Host, OnBegin, OnEnd
 from cloverrouter.proxy.upstream import outcome_of as outcome_of_answer
 
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -178,7 +178,7 @@
 
 
 class SimCarrier:
-    """Attempts to servers over simulated connections; a `node.Carrier`."""
+    """Attempts to servers over simulated connections; a `Carrier`."""
 
     def __init__(self, world: Simulation, proxy: SimProxy) -> None:
         self.world, self._proxy, self._name = world, proxy, proxy.name
--- a/cloverrouter/membership/standing.py
+++ b/cloverrouter/membership/standing.py
@@ -17,7 +17,7 @@
 from cloverrouter.interface import Idempotency
 from cloverrouter.values import Value
 
-# The loop is at its sockets every 50 ms, whatever happens (`node.LAG_EVERY_S`), and late past `LATE_S`. What
+# The loop is at its sockets every 50 ms, whatever happens (`lag.LAG_EVERY_S`), and late past `LATE_S`. What
 # is read may have waited since the time before: past `FRESH_S` it is asked how long.
 FRESH_S = 0.06
 LATE_S = 0.075
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -7,14 +7,11 @@
 
 import asyncio
 import logging
-import time
 from collections import Counter, deque
 from collections.abc import Callable
-from collections.abc import Set as AbstractSet
-from functools import lru_cache, partial
-from typing import Protocol
+from functools import partial
 
-from cloverrouter.clock import Handle, Loop
+from cloverrouter.clock import Loop
 from cloverrouter.decide import Balancer, crowded
 from cloverrouter.interface import (
     Action,
@@ -49,150 +46,30 @@
 from cloverrouter.membership.releases import opened_ahead
 from cloverrouter.membership.standing import Gap, by_worth
 from cloverrouter.proxy.admission import Admission
+from cloverrouter.proxy.carrier import Carrier
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.containment import contained_errors_of
+from cloverrouter.proxy.lag import LagMeter
+from cloverrouter.proxy.load_report import read_report
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.observer import Final, Observer, Tried
-from cloverrouter.proxy.upstream import Host, OnBegin, OnEnd
+from cloverrouter.proxy.open_requests import OpenAttempt, OpenRequest
 from cloverrouter.proxy.wake import wake_of
 from cloverrouter.view import believed
 
 # The answer's way to the client, and the loop's lateness on top, as measured: deadlines are taken to be
-# this much earlier. The measured part is bounded, or one long stall would refuse everything for a while.
+# this much earlier. The measured part is bounded (`LagMeter`).
 MARGIN_MS = 3.0
-MOST_LAG_MS = 30.0
-LAG_EVERY_S = 0.05
-LAG_KEPT = 0.98  # of the longest lag, from one measurement to the next
 READS_S = 0.005  # for what lies here to be read, after a gap
-# Danger: smoothed, a figure beyond belief would outweigh all that come after it.
-MOST_REPORTED = 1e6
 LONG_MS = 60_000.0  # where no class says how long
 MAY_HAVE_RUN = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.SPOILT, Outcome.CANCELLED})
 log = logging.getLogger(__name__)
 
 
-@lru_cache(maxsize=1024)  # a host repeats a reading in every answer until its next one
-def read_report(text: bytes | None, fields: tuple[str, ...]) -> tuple[float, ...] | None:
-    """A host's load report in the order of `fields`; None if it is missing, or any of it is no figure."""
-    if text is None or not fields:
-        return None
-    pairs = dict(part.strip().partition(b"=")[::2] for part in text.split(b","))
-    try:
-        report = tuple(float(pairs[name.encode()]) for name in fields)
-    except (KeyError, ValueError):
-        return None
-    return report if all(0 <= value <= MOST_REPORTED for value in report) else None
-
-
 def longest_ms(settings: Settings) -> float:
     return max((cls.deadline_ms for cls in settings.classes), default=LONG_MS)
 
 
-class LagMeter:
-    """How late the event loop comes to things: the longest of late, fading."""
-
-    def __init__(self, loop: Loop) -> None:
-        self._loop, self._wake = loop, wake_of(loop)
-        self.peak_ms = 0.0
-        self._due_s = 0.0
-        self._again()
-
-    def _again(self) -> None:
-        self._due_s = self._loop.time() + LAG_EVERY_S
-        self._loop.call_later(LAG_EVERY_S, self._measure)
-
-    def _measure(self) -> None:
-        late_ms = (self._loop.time() - self._due_s) * 1000
-        self.peak_ms = min(MOST_LAG_MS, max(late_ms, self.peak_ms * LAG_KEPT))
-        self._wake.cpu_s = time.process_time()
-        self._again()
-
-
-class Sent(Protocol):
-    """An attempt as its carrier has it."""
-
-    @property
-    def written(self) -> bool:
-        """Has its last byte been handed over? From then on it may have run."""
-
-    @property
-    def begun(self) -> bool:
-        """Has its first byte been handed over?"""
-
-    @property
-    def sign(self) -> Sign | None:
-        """What its connection showed, if that did not come up."""
-
-    def abandon(self) -> None:
-        """Give it up, and tell nobody."""
-
-
-class Carrier(Protocol):
-    """What takes attempts to hosts; `Upstream` on sockets."""
-
-    def send(
-        self,
-        host: Host,
-        call: Call,
-        timeout_ms: float,
-        on_end: OnEnd,
-        on_begin: OnBegin | None = None,
-        on_open: Callable[[], None] | None = None,
-    ) -> Sent:
-        """Start an attempt; with `on_open` on a new connection, which is told of when it is up."""
-
-    def keep_only(self, wanted: AbstractSet[Host]) -> None:
-        """`wanted` is asked for the hosts that are connected to, and not walked over."""
-
-    def open_ahead(self, host: Host) -> None:
-        """Connect once to a host that has just been listed."""
-
-
-class Try:
-    """An attempt that is out."""
-
-    __slots__ = (
-        "due_ms",
-        "exchange",
-        "first_ms",
-        "host",
-        "number",
-        "ran_ms",
-        "request",
-        "sent_ms",
-        "sink",
-        "timer",
-    )
-
-    def __init__(self, request: Request, number: int, host: Host, sent_ms: float) -> None:
-        self.request = request
-        self.number = number
-        self.host = host
-        self.sent_ms = sent_ms
-        self.ran_ms = 0.0  # when it was sent, on the clock that stands still with this process
-        self.due_ms = float("inf")  # when its time is over
-        self.first_ms: float | None = None  # how long a long answer took to begin
-        self.exchange: Sent | None = None
-        self.sink: AnswerSink | None = None  # where a long answer of it goes
-        self.timer: Handle | None = None
-
-
-class Request:
-    """A call until its answer is given and its attempts have ended."""
-
-    __slots__ = ("answered", "call", "deadline_ms", "id", "may_have_run", "out", "trail", "tries")
-
-    def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
-        self.id = request_id
-        self.call = call
-        self.deadline_ms = deadline_ms
-        self.tries = 0
-        self.out: dict[int, Try] = {}
-        self.answered = False  # or nothing is owed any more
-        self.may_have_run = False  # an attempt that was written whole ended without its answer
-        self.trail: list[Tried] | None = None  # how its attempts ended, for an observer
-
-
 class Node:
     def __init__(
         self,
@@ -216,10 +93,10 @@
         self.errors = contained_errors_of(self._loop)
         self._note = self.errors.recorder.note
         self._addresses: dict[str, Address] = {}
-        self._requests: dict[int, Request] = {}
-        self._by_call: dict[Call, Request] = {}
+        self._requests: dict[int, OpenRequest] = {}
+        self._by_call: dict[Call, OpenRequest] = {}
         self._woken: dict[Call, None] = {}  # that came while this process stood, to be handed over
-        self._passing: dict[Call, Try] = {}  # long answers that are being passed on
+        self._passing: dict[Call, OpenAttempt] = {}  # long answers that are being passed on
         self._ids: set[bytes] = set()  # the clients' own, of the same requests
         self._last_id = 0
         self._events: deque[Event] = deque()
@@ -324,7 +201,7 @@
                 self.errors.run("end_now", attempt.sink.cut, call.request_id)
             self._give_up(attempt, Outcome.CANCELLED)
 
-    def _answer_now(self, request: Request) -> None:
+    def _answer_now(self, request: OpenRequest) -> None:
         """Answer a request without waiting for its attempts any longer."""
         written = any(a.exchange is not None and a.exchange.written for a in request.out.values())
         may_have_run = request.may_have_run or written
@@ -336,7 +213,7 @@
         for attempt in list(request.out.values()):
             self._give_up(attempt, Outcome.CANCELLED)
 
-    def _settle(self, request: Request) -> None:
+    def _settle(self, request: OpenRequest) -> None:
         """Answer a request for which nothing is out any more that could bring its answer."""
         for attempt in list(request.out.values()):
             if attempt.exchange is None or not attempt.exchange.written:
@@ -350,7 +227,7 @@
             self._reply(request, lambda: request.call.refused(0.0))
             self._observe_end(request, Final.REFUSED, None)
 
-    def _reply(self, request: Request, reply: Callable[[], None]) -> None:
+    def _reply(self, request: OpenRequest, reply: Callable[[], None]) -> None:
         """Give a final answer. An error in its client's connection costs nobody else."""
         self.errors.run("reply", reply, request.id)
 
@@ -384,7 +261,7 @@
                 if self.observer is not None:
                     self.observer.said(action.text)
 
-    def _observe_end(self, request: Request, final: Final, why: Why | None) -> None:
+    def _observe_end(self, request: OpenRequest, final: Final, why: Why | None) -> None:
         self._note(final.value, request.call.request_id, why.name if why is not None else "")
         if self.observer is not None:
             took_ms = self.now_ms() - request.call.arrived_ms
@@ -485,7 +362,7 @@
         self._last_id += 1
         self._note("taken", call.request_id, (call.class_name, round(self.now_ms() - call.arrived_ms)))
         coming = call.upload is not None and not call.upload.ended
-        request = Request(self._last_id, call, None if coming else self._deadline_ms(call))
+        request = OpenRequest(self._last_id, call, None if coming else self._deadline_ms(call))
         if call.upload is not None and coming:
             call.upload.on_end = lambda: self._whole(request)
         self._requests[request.id] = self._by_call[call] = request
@@ -525,7 +402,7 @@
         client gives it."""
         self._leaving_ms, self._left_by_ms = from_ms, by_ms
 
-    def _whole(self, request: Request) -> None:
+    def _whole(self, request: OpenRequest) -> None:
         """The last byte of a body has come that was passed on: its client's time runs from here."""
         if request.answered:
             return
@@ -536,7 +413,7 @@
             self._set_time_out(attempt, self._longest_ms)
         self.tell(RequestWhole(request.id, request.deadline_ms))
 
-    def _set_time_out(self, attempt: Try, timeout_ms: float) -> None:
+    def _set_time_out(self, attempt: OpenAttempt, timeout_ms: float) -> None:
         deadline_ms = attempt.request.deadline_ms
         if deadline_ms is not None:
             timeout_ms = min(timeout_ms, deadline_ms - self.now_ms())
@@ -561,7 +438,7 @@
             self._give_up(attempt, Outcome.CANCELLED)
         self._drop_if_over(request)
 
-    def _take_unanswered(self, request_id: int) -> Request | None:
+    def _take_unanswered(self, request_id: int) -> OpenRequest | None:
         """The request, if its final answer is still owed; from here on it is not.
 
         What is still on its way to a host must not go out after the answer.
@@ -577,7 +454,7 @@
         self._drop_if_over(request)
         return request
 
-    def _drop_if_over(self, request: Request) -> None:
+    def _drop_if_over(self, request: OpenRequest) -> None:
         if request.answered and not request.out and self._requests.pop(request.id, None) is not None:
             self._ids.discard(request.call.request_id)
 
@@ -599,7 +476,7 @@
             return
         timeout_ms = min(timeout_ms, self._longest_ms)
         host, upload = (action.endpoint, address), request.call.upload
-        attempt = request.out[number] = Try(request, number, host, self._now_ms)
+        attempt = request.out[number] = OpenAttempt(request, number, host, self._now_ms)
         attempt.ran_ms = self.wake.ran_s(self._now_ms / 1000) * 1000
         self._note("sent", request.call.request_id, action.endpoint)
         if upload is None or upload.ended:  # else its time runs from the body's last byte
@@ -620,20 +497,20 @@
         if name in self._addresses:
             self.tell(SignSeen(name, sign))
 
-    def _timed_out(self, attempt: Try) -> None:
+    def _timed_out(self, attempt: OpenAttempt) -> None:
         if self.wake.ran_out(attempt.due_ms / 1000):
             # Its answer may lie here, not read to its end yet; if not, that is not its server's fault.
             attempt.timer = self._loop.call_later(READS_S, self._give_up, attempt, Outcome.CANCELLED)
         else:
             self._give_up(attempt, Outcome.TIMEOUT)
 
-    def _begin_now_or_never(self, attempt: Try) -> None:
+    def _begin_now_or_never(self, attempt: OpenAttempt) -> None:
         """Danger: a connection that comes up now would carry out a repeat that the hosts no longer know."""
         exchange = attempt.exchange
         if attempt.number in attempt.request.out and exchange is not None and not exchange.written:
             self._give_up(attempt, Outcome.NOT_SENT)
 
-    def _give_up(self, attempt: Try, outcome: Outcome) -> None:
+    def _give_up(self, attempt: OpenAttempt, outcome: Outcome) -> None:
         """Stop an attempt from this side. One whose last byte has not been written has never run."""
         exchange = attempt.exchange
         if exchange is not None:
@@ -642,7 +519,7 @@
             self.errors.run("attempt_abandon", exchange.abandon, attempt.host[0])
         self._ended(attempt, outcome, None)
 
-    def _begin(self, attempt: Try, answer: Answer) -> AnswerSink | None:
+    def _begin(self, attempt: OpenAttempt, answer: Answer) -> AnswerSink | None:
         """A long answer: from here on the attempt is the client's, and no time-out of ours holds."""
         request = attempt.request
         if request.answered or attempt.number not in request.out:
@@ -658,7 +535,7 @@
         self.tell(StreamStarted(request.id, attempt.number, attempt.first_ms))
         return sink
 
-    def _ended(self, attempt: Try, outcome: Outcome, answer: Answer | None) -> None:
+    def _ended(self, attempt: OpenAttempt, outcome: Outcome, answer: Answer | None) -> None:
         request = attempt.request
         if request.out.pop(attempt.number, None) is None:
             return
@@ -689,7 +566,7 @@
             )
         )
 
-    def _took(self, attempt: Try, outcome: Outcome, answer: Answer | None) -> tuple[float, bool]:
+    def _took(self, attempt: OpenAttempt, outcome: Outcome, answer: Answer | None) -> tuple[float, bool]:
         """How long its server took, and is that unsure, this process having stood still meanwhile?"""
         now_ms = self.now_ms()
         took_ms = now_ms - attempt.sent_ms
@@ -700,7 +577,7 @@
             return self.wake.ran_s(now_ms / 1000) * 1000 - attempt.ran_ms, True
         return max(0.0, took_ms - waited_ms), False
 
-    def _observe_try(self, request: Request, tried: Tried, report: tuple[float, ...] | None) -> None:
+    def _observe_try(self, request: OpenRequest, tried: Tried, report: tuple[float, ...] | None) -> None:
         assert self.observer is not None
         if request.trail is None:
             request.trail = []
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -25,6 +25,7 @@
 from cloverrouter.lab.workers import Run, Worker, spread
 from cloverrouter.proxy import node
 from cloverrouter.proxy.messages import Answer
+from cloverrouter.proxy.open_requests import OpenAttempt
 from tests.lab.test_simulation import shorter
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -124,7 +125,7 @@
 def test_a_failure_is_cut_down_and_still_fails(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
     original = node.Node._ended
 
-    def ended(self: node.Node, attempt: node.Try, outcome: Outcome, answer: Answer | None) -> None:
+    def ended(self: node.Node, attempt: OpenAttempt, outcome: Outcome, answer: Answer | None) -> None:
         lie = Outcome.CONNECT_FAILED if outcome is Outcome.ERROR else outcome
         original(self, attempt, lie, answer)
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,8 +24,9 @@
 from cloverrouter.membership.watching import Asking
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_list
 from cloverrouter.proxy.discovery import Watch
+from cloverrouter.proxy.load_report import read_report
 from cloverrouter.proxy.messages import Answer, Call
-from cloverrouter.proxy.node import Node, read_report
+from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.upstream import Upstream
 
 SETTINGS = Settings((RequestClass("unsafe", 1500, 3000, idempotency=Idempotency.UNSAFE),))
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -35,7 +35,8 @@
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.node import LagMeter, Node
+from cloverrouter.proxy.lag import LagMeter
+from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop, data_age_s, wake_of
