Soak: an upgrade waits until the successor itself serves; a folder for logs is made

Traced: successor and predecessor write to one log, so 'serves at' of the first stood for the second, the first was told to end at once, and a SIGHUP hit the second's interpreter before the program was loaded (the deploy file's run ignores it there). A fault of the rig, not of the program. Change: ProxyProcess.logged looks behind what was there when its process started.

--- a/cloverrouter/lab/process.py
+++ b/cloverrouter/lab/process.py
@@ -48,10 +48,12 @@
             lines = ["import sys", "from cloverrouter import decide", *changed]
             lines += ["from cloverrouter.proxy.service import main", "sys.exit(main())"]
             self._command = [sys.executable, "-c", "\n".join(lines)]
+        self._log_start = 0  # how much of the log is older than the present process
         self._lives: list[subprocess.Popen[bytes]] = []
         self._cpu_s: list[float] = []
 
     def start(self) -> None:
+        self._log_start = len(self.log()) if self._log.exists() else 0
         with self._log.open("ab") as log:
             self._lives.append(
                 subprocess.Popen(
@@ -88,8 +90,10 @@
         return self._log.read_text()
 
     async def logged(self, text: str) -> None:
+        """Wait until `text` is in the log, behind what was there when this process started: the one before
+        it, or the one that it takes over from, writes to the same file."""
         until = time.monotonic() + LONG_S
-        while text not in self.log():
+        while text not in self.log()[self._log_start :]:
             assert self.up and time.monotonic() < until, self.log()
             await asyncio.sleep(0.02)
 
--- a/tests/faults/chaos/__main__.py
+++ b/tests/faults/chaos/__main__.py
@@ -19,6 +19,8 @@
     parser.add_argument("--logs", type=Path, help="a folder for the whole logs of the runs with trouble")
     told = parser.parse_args()
     seeds = range(told.first, told.last + 1)
+    if told.logs is not None:
+        told.logs.mkdir(parents=True, exist_ok=True)
     bad = sum(not well(seed, told.seconds, told.logs) for seed in seeds)
     print(f"{len(seeds)} runs, {bad} with trouble")
     return 1 if bad else 0
