What a client is owed leaves the program before its connection ends

A long answer that its server broke off was cut with abort(), which drops what the kernel has not taken yet: also the answer's head. The same class, found by reading each end of a connection: an idle connection was closed (a drain) and a refused one made room with a part of its answer still here; and an answer whose end is its connection's end (HTTP/1.0) was cut with an orderly end, as if that had been all. Change: a cut answer whose framing shows its end goes out as far as it is there, then FIN; the other kind ends with RST; idle and refused connections end once their answers have left.

--- a/cloverrouter/proxy/client_answers.py
+++ b/cloverrouter/proxy/client_answers.py
@@ -50,8 +50,10 @@
 class LongAnswer:
     """A long answer on its way to a client: an `AnswerSink`."""
 
-    def __init__(self, client: ClientConnection, chunked: bool, close: bool) -> None:
+    def __init__(self, client: ClientConnection, chunked: bool, close: bool, shows_its_end: bool) -> None:
+        """`shows_its_end`: its framing tells where it ends, and not the connection's end."""
         self._client, self._chunked, self._close = client, chunked, close
+        self._shows_its_end = shows_its_end
         self.on_ready: Callable[[], None] | None = None
 
     def write(self, data: bytes) -> bool:
@@ -63,4 +65,4 @@
         self._client.passed(self._close)
 
     def cut(self) -> None:
-        self._client.cut()
+        self._client.cut(self._shows_its_end)
--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -28,7 +28,7 @@
     Upload,
 )
 from cloverrouter.proxy.overload import MOST_BEHIND_S
-from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed
+from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset
 from cloverrouter.proxy.validity import HEALTH, Head
 from cloverrouter.proxy.wake import data_age_s
 
@@ -451,7 +451,7 @@
         close = self._closing(call) or (answer.length is None and call.old)
         transport.write(encode_long_head(answer, self._gate.alt_svc, chunked, close))
         transport.set_write_buffer_limits(high=PASSING_BYTES)
-        self._passing = LongAnswer(self, chunked, close)
+        self._passing = LongAnswer(self, chunked, close, shows_its_end=chunked or answer.length is not None)
         return self._passing
 
     def pass_on(self, data: bytes) -> bool:
@@ -470,10 +470,19 @@
         if self._transport is not None and self._open is not None:
             self._answered(close)
 
-    def cut(self) -> None:
-        """Danger: a client must be able to tell that this was not all: not one byte that could end it."""
+    def cut(self, shows_its_end: bool) -> None:
+        """A long answer ends before its end. Danger: its client must be able to tell: not one byte that could
+        end it, and no orderly end of the connection where that is the answer's."""
         self._passing, self._open = None, None
-        self.end("answer cut short")
+        if self._transport is None:
+            return
+        self._note("closed_by_us", "answer cut short")
+        if shows_its_end:
+            self._end_sending()  # what it has been sent goes out first: not even its head may have left yet
+            self._frontend.note_stage(self)
+        else:
+            self._ended = True
+            reset(self._transport, self._sock)
 
     def _release(self) -> None:
         self._claimed = self._frontend.keeping.claim(0, self._claimed)
@@ -584,8 +593,8 @@
         return nothing and not has_unread_data(self._sock)
 
     def close_idle(self) -> bool:
-        """Close it if nothing is on it."""
-        if not self.closable:
+        """Close it if nothing is on it, its last answer included."""
+        if not self.closable or self.unflushed:
             return False
         self.end("idle")
         return True
--- a/cloverrouter/proxy/listener.py
+++ b/cloverrouter/proxy/listener.py
@@ -244,7 +244,8 @@
             new = connection.stage is Stage.SILENT and age_s < SPARED_TO_REFUSE_S
             # What lies unread for long lies on a connection that epoll could not take.
             stuck = age_s > FIRST_REQUEST_S
-            if stuck or (not new and connection.evictable and not connection.unread):
+            owed = connection.unread or connection.unflushed
+            if stuck or (not new and connection.evictable and not owed):
                 del self._refusing[connection]
                 connection.end("evicted")
                 return True
--- a/cloverrouter/proxy/sockets.py
+++ b/cloverrouter/proxy/sockets.py
@@ -10,8 +10,11 @@
 import errno
 import select
 import socket
+import struct
 from contextlib import suppress
 
+LINGERS_NOT = struct.pack("ii", 1, 0)  # `struct linger`: on, for no time
+
 # Errors of accept(2) that belong to the connection which was to be accepted: it has ended, and the next one
 # is to be tried ("Error handling" there). EPERM: a firewall forbids it.
 CONNECTION_ERRORS = frozenset(
@@ -45,6 +48,13 @@
     return True
 
 
+def reset(transport: asyncio.Transport, sock: socket.socket) -> None:
+    """End a connection with RST (socket(7), SO_LINGER): its peer can tell that something is missing."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGERS_NOT)
+    transport.abort()
+
+
 def close(sock: socket.socket) -> None:
     """Close a socket. Its descriptor is free whatever close(2) says, also where that is an error."""
     with suppress(OSError):
