--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -89,7 +89,7 @@
 ) -> None:
     seen = played(lambda: watch(stops, rate, after_s=2.0, slack_s=SLACK_S))
     figures = seen.figures()
-    assert figures["asked"] and figures["served"] and figures["after"], "it did nothing"
+    assert figures["asked"] and figures["served"] and figures["after"], f"it did nothing\n{load_of(seen)}"
     assert bool(figures["over"]) or not over
     assert not figures["resets"] and not figures["unanswered"], figures
     assert not figures["run late"] and not figures["twice"], figures
