--- a/cloverrouter/proxy/wake.py
+++ b/cloverrouter/proxy/wake.py
@@ -56,9 +56,6 @@
         self.overload = OverloadDetector()
         self.before_s = float("inf")  # when the loop was at its sockets, the time before this one
         self.cpu_s = 0.0  # of the processor, as of late
-        self.leaves_queued = (
-            False  # what waits to be accepted is left there on purpose, out of the loop's sight
-        )
         self.on_gap: list[Callable[[Gap], None]] = []
         self.on_told: Callable[[str], None] = lambda text: None
         self.woke_s = float("-inf")
@@ -179,7 +176,7 @@
             # there before; timers would have their turn before what came meanwhile, and that would look new.
             found = super().select(0) or found
             caught_up = not found
-        if caught_up and not self._wake.leaves_queued:
+        if caught_up:
             self._wake.overload.caught_up(at_s)
         return found
 
