Waiting for room is neither being behind nor having caught up

While accepting waits for room after a pause, the listener is out of epoll; the loop finds nothing ready and took itself to have caught up, which took back the time (1.6 s) that the pause had given to read the queue. Change: the time of such a wait counts as neither: the detector's clock goes on by it. While a loop recovers from a gap it looks at its sockets once without waiting, since a wait for the processor looks like one at the sockets.

--- a/cloverrouter/proxy/listener.py
+++ b/cloverrouter/proxy/listener.py
@@ -94,6 +94,7 @@
     def close(self) -> None:
         """Accept no more."""
         listener, self._socket = self._socket, None
+        self._wake.leaving_queued.discard(self)
         if listener is not None:
             self._loop.remove_reader(listener)
             close(listener)
@@ -223,6 +224,8 @@
             return None
         self.deferred = self._left_queued = True
         if reason is DeferReason.RECOVERING:
+            # Danger: the loop finds nothing ready meanwhile, and would take itself to have caught up.
+            self._wake.leaving_queued.add(self)
             self._rest(MOST_DEFERRED_S / 2)
         return reason
 
@@ -277,6 +280,7 @@
         self._loop.call_later(for_s, self._resume)
 
     def _resume(self) -> None:
+        self._wake.leaving_queued.discard(self)
         # A reader that is added again loses its turn, and nobody would seem to have waited.
         if self._socket is None or not self._resting:
             return
--- a/cloverrouter/proxy/overload.py
+++ b/cloverrouter/proxy/overload.py
@@ -27,6 +27,16 @@
         """The loop found nothing ready at its sockets."""
         self._caught_up_s, self._gap_s = now_s, 0.0
 
+    def waited(self, span_s: float) -> None:
+        """The loop waited for `span_s` with nothing ready, but connections were left in a listener's queue on
+        purpose. It has not caught up with these, and it is not behind by a wait that was its own choice."""
+        self._caught_up_s += span_s
+
+    @property
+    def recovering(self) -> bool:
+        """Has there been a gap since the loop caught up?"""
+        return self._gap_s > 0
+
     def gap(self, span_s: float) -> None:
         """The loop was not at its sockets for `span_s`: a pause of the process, or a long step of its own."""
         self._gap_s = self._gap_s or span_s
--- a/cloverrouter/proxy/wake.py
+++ b/cloverrouter/proxy/wake.py
@@ -32,6 +32,7 @@
 FIRST_S = 1.0  # so long after a gap a connection that was there by its end may be read from the first time
 WOKE_S = 0.05  # so long after a gap what is read may be of before its end, in a pass of its own
 WAITED_S = 0.0005  # whoever had to wait for so long at its sockets found nothing ready there
+Ready = list[tuple[selectors.SelectorKey, int]]  # as `selectors.BaseSelector.select` has it
 log = logging.getLogger(__name__)
 
 
@@ -56,6 +57,8 @@
         self.overload = OverloadDetector()
         self.before_s = float("inf")  # when the loop was at its sockets, the time before this one
         self.cpu_s = 0.0  # of the processor, as of late
+        # Listeners that leave connections queued on purpose, where the loop does not look meanwhile.
+        self.leaving_queued: set[object] = set()
         self.on_gap: list[Callable[[Gap], None]] = []
         self.on_told: Callable[[str], None] = lambda text: None
         self.woke_s = float("-inf")
@@ -164,22 +167,40 @@
         self._wake, self._at_s = wake, now_s()
         self.on_late: Callable[[float, float], None] = lambda from_s, to_s: None
 
-    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+    def select(self, timeout: float | None = None) -> Ready:
         began_s = now_s()
-        found: list[tuple[selectors.SelectorKey, int]] = super().select(timeout)
+        found, caught_up = self._wait(timeout, began_s)
         at_s = now_s()
-        caught_up = not found or at_s - began_s > WAITED_S
         self._wake.before_s, self._at_s = self._at_s, at_s
-        if at_s - self._wake.before_s > LATE_S:
+        late = at_s - self._wake.before_s > LATE_S
+        if late:
             self.on_late(self._wake.before_s, at_s)
             # Danger: a wait that a stop broke off ends with nothing, its time being over, or with what was
             # there before; timers would have their turn before what came meanwhile, and that would look new.
             found = super().select(0) or found
             caught_up = not found
         if caught_up:
-            self._wake.overload.caught_up(at_s)
+            self._note_caught_up(at_s, 0.0 if late else at_s - began_s)
         return found
 
+    def _wait(self, timeout: float | None, began_s: float) -> tuple[Ready, bool]:
+        """What is ready; and whether nothing was, when this began."""
+        if self._wake.overload.recovering:
+            # Danger: a wait for the processor looks like one at the sockets, and would end the time that is
+            # given to read what came in a gap.
+            found = super().select(0)
+            if found or timeout == 0:
+                return found, not found
+            return super().select(timeout), True
+        found = super().select(timeout)
+        return found, not found or now_s() - began_s > WAITED_S
+
+    def _note_caught_up(self, at_s: float, waited_s: float) -> None:
+        if self._wake.leaving_queued:
+            self._wake.overload.waited(waited_s)
+        else:
+            self._wake.overload.caught_up(at_s)
+
 
 class Loop(asyncio.SelectorEventLoop):
     """asyncio's loop on the clock that counts a suspended machine."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cloverrouter.proxy import client_connection, wake
+from cloverrouter.proxy import listener as listener_module
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.load import RefusalReason
 from cloverrouter.proxy.overload import MOST_BEHIND_S
@@ -296,6 +297,31 @@
     play(scene)
 
 
+def test_loop_that_leaves_connections_queued_keeps_the_time_to_read_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It finds nothing ready meanwhile: that is neither having caught up nor being behind."""
+    monkeypatch.setattr(listener_module, "MOST_DEFERRED_S", 1.0)
+
+    async def scene(loop: Loop) -> None:
+        frontend, held, address = await front_of(loop, 8)
+        clients = [connect(address, request(f"r{i}")) for i in range(5)]
+        await until(lambda: len(held.calls) == 5)
+        clients += [connect(address, request(f"late{i}")) for i in range(2)]
+        time.sleep(0.1)
+        await until(lambda: frontend.listener._resting)
+        told: list[float] = []
+        monkeypatch.setattr(frontend.wake.overload, "caught_up", told.append)
+        await asyncio.sleep(MOST_BEHIND_S + 0.2)
+        assert frontend.listener._resting and not told and not frontend.overloaded
+        await until(lambda: len(held.calls) == 7)
+        await until(lambda: told)
+        for client in clients:
+            client.close()
+
+    play(scene)
+
+
 class Unwilling:
     """A listening socket of which accept(2) fails for want of descriptors until it is told otherwise."""
 
--- a/tests/test_overload_rules.py
+++ b/tests/test_overload_rules.py
@@ -81,3 +81,14 @@
     found.caught_up(BEGIN_S + 0.21)
     found.gap(0.08)  # with time to catch up between them they are
     assert not found.is_overloaded(BEGIN_S + 0.31)
+
+
+def test_waiting_for_room_is_neither_being_behind_nor_having_caught_up() -> None:
+    found = detector()
+    found.gap(8.0)
+    woke_s = BEGIN_S + 8.0
+    found.waited(0.5)
+    allowed_s = MOST_BEHIND_S + MOST_RECOVERY_S
+    assert found.recovering
+    assert not found.is_overloaded(woke_s + 0.5 + allowed_s - 0.01)
+    assert found.is_overloaded(woke_s + 0.5 + allowed_s + 0.01)
