Room for descriptors is made three times in 0.2 s, also where not all tries find any

The pause between closing connections to no use (no descriptor on the whole machine) began only where all three tries found somebody to close. Where a try found nobody, the next request closed the next idle one: with six clients 24 were closed in two faults of 0.4 s, and what is closed differs by the timing of the machine. Attempts that ran at one time did not share the pause, nor did calls to discovery. Change: the pause is the loop's (`Room`): TRIES closes in PAUSE_S, for all who ask, until one gets a descriptor; others that ask meanwhile try again in the next steps and close nobody. The bound of the system call test is unchanged.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -542,7 +542,7 @@
         except OSError as error:  # no descriptor, no memory: not the server's fault
             log.error("no socket: %s", error)
             if missing(error):
-                room_of(self.loop).make()  # for the next one
+                room_of(self.loop).make(self.loop.time())  # for the next one
             return None
         try:
             sock.setblocking(False)
--- a/cloverrouter/proxy/descriptors.py
+++ b/cloverrouter/proxy/descriptors.py
@@ -35,7 +35,8 @@
 # Our own lack: what fails by it says nothing about the other side.
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 OWN_LACK = (*NO_DESCRIPTOR, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
-TRIES = 3
+TRIES = 3  # of whoever finds no descriptor
+PAUSE_S = 0.2  # in which room is made `TRIES` times at most, if nobody gets a descriptor by it
 
 
 class Budget(Value):
@@ -79,13 +80,35 @@
 
 
 class Room:
-    """Who can free a descriptor, those first that are missed least. It is free in the loop's next step."""
+    """Who can free a descriptor, those first that are missed least. It is free in the loop's next step.
+
+    Where the whole machine has none left, what is closed here goes to others: connections of clients would be
+    closed without end, to no use. So `TRIES` make room within `PAUSE_S`, for as long as nobody gets a
+    descriptor by it. Times are in seconds of the loop's clock.
+    """
 
     def __init__(self) -> None:
         self.makers: list[Callable[[], bool]] = []
-
-    def make(self) -> bool:
-        return any(maker() for maker in self.makers)
+        self._made = 0  # times in this pause
+        self._pause_ends_s = float("-inf")
+
+    def make(self, now_s: float, *preferred: Callable[[], bool]) -> bool:
+        """Has room been made, now or shortly before, for whoever comes first? `preferred` are asked ahead of
+        the others."""
+        if now_s >= self._pause_ends_s:
+            self._made = 0
+        if self._made >= TRIES:
+            return True
+        if not any(maker() for maker in (*preferred, *self.makers)):
+            return self._made > 0
+        if not self._made:
+            self._pause_ends_s = now_s + PAUSE_S
+        self._made += 1
+        return True
+
+    def used(self) -> None:
+        """A descriptor was got: what is closed here is of use."""
+        self._made = 0
 
 
 def room_of(loop: object) -> Room:
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -49,7 +49,6 @@
 # What a host sends behind an answer (a second copy, noise) may come in a read of its own. Nothing goes
 # out on a connection before that has had time to come, or it would be taken for the next answer.
 SETTLE_S = 0.005
-RECLAIM_PAUSE_S = 0.2  # after descriptors were reclaimed and there was none all the same
 log = logging.getLogger(__name__)
 
 
@@ -531,7 +530,6 @@
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._pools: dict[Host, Pool] = {}
         self.connects = 0  # begun, ever
-        self._reclaim_from_s = float("-inf")  # descriptors may be reclaimed again
         self.uses_seen = Uses()  # of all hosts' connections
         self.on_sign: Callable[[str, Sign], None] = lambda name, sign: None
         room_of(self.loop).makers.append(self._make_room)
@@ -678,26 +676,18 @@
 
     async def _socket(self, family: int) -> socket.socket:
         """Raises OSError if there is none, and nobody can make room for it."""
+        room = room_of(self.loop)
         for _ in range(TRIES):
             try:
-                return socket.socket(family)
+                sock = socket.socket(family)
             except OSError as error:
-                if not missing(error) or not self._reclaim_descriptor():
+                if not missing(error) or not room.make(self.loop.time(), self._make_room):
                     raise
+            else:
+                room.used()
+                return sock
             await asyncio.sleep(0)  # what was closed is gone then
-        try:
-            return socket.socket(family)
-        except OSError as error:
-            if missing(error):
-                self._reclaim_from_s = self.loop.time() + RECLAIM_PAUSE_S
-            raise
-
-    def _reclaim_descriptor(self) -> bool:
-        """Close a connection that is not in use. Where the whole machine has no descriptor left, what is
-        closed here goes to others: connections of clients would be closed without end, to no use."""
-        if self.loop.time() < self._reclaim_from_s:
-            return False
-        return self._make_room() or room_of(self.loop).make()
+        return socket.socket(family)
 
     def _make_room(self) -> bool:
         """Close the connection that has been idle longest, at whichever host."""
--- a/cloverrouter/proxy/wake.py
+++ b/cloverrouter/proxy/wake.py
@@ -228,7 +228,7 @@
             try:
                 return await super().create_connection(*what, **how)
             except OSError as error:
-                if not missing(error) or not self.room.make():
+                if not missing(error) or not self.room.make(self.time()):
                     raise
             await asyncio.sleep(0)  # what was closed is gone then
         return await super().create_connection(*what, **how)
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -21,8 +21,7 @@
 import pytest
 
 from cloverrouter.lab.peers import LONG_S, Client, Discovery, Host, Message, Proxy, Seen, ok, running
-from cloverrouter.proxy.descriptors import TRIES
-from cloverrouter.proxy.upstream import RECLAIM_PAUSE_S
+from cloverrouter.proxy.descriptors import PAUSE_S, TRIES
 from tests.faults.faulty_sockets import Fault
 
 CLIENTS = 6
@@ -215,7 +214,7 @@
     faults = [Fault(call, error, "servers", share) for error in SERVER_FAULTS[call]]
     answers = played(faults, new_connections=False).answers
     # For want of a descriptor a connection may be closed before its client has asked: a few in a second.
-    most_lost = len(faults) * (FAULTY_S / RECLAIM_PAUSE_S + 1) * TRIES if call == "socket" else 0
+    most_lost = len(faults) * (FAULTY_S / PAUSE_S + 1) * TRIES if call == "socket" else 0
     assert set(answers) <= {200, 404, 502, 503, CROSSED, LOST}, answers
     assert answers[LOST] <= most_lost and answers[CROSSED] <= most_lost, answers
     assert answers[200] or share == 1.0, answers
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -399,9 +399,63 @@
         return make
 
     room = Room()
-    assert not room.make()
+    assert not room.make(0.0)
     room.makers = [maker("none", False), maker("first", True), maker("second", True)]
-    assert room.make() and asked == ["none", "first"]
+    assert room.make(0.0) and asked == ["none", "first"]
+    assert room.make(0.0, maker("preferred", True)) and asked == ["none", "first", "preferred"]
+
+
+def test_room_is_made_a_few_times_for_as_long_as_nobody_gets_a_descriptor_by_it() -> None:
+    made: list[float] = []
+    now_s = 100.0
+
+    def close_one() -> bool:
+        made.append(now_s)
+        return True
+
+    room = Room()
+    room.makers.append(close_one)
+    for step in range(30):
+        now_s = 100 + step / 100
+        assert room.make(now_s)
+    in_first_pause = [at_s for at_s in made if at_s < 100 + descriptors.PAUSE_S]
+    assert len(in_first_pause) == descriptors.TRIES and len(made) == 2 * descriptors.TRIES
+    room.used()
+    assert room.make(now_s) and len(made) == 2 * descriptors.TRIES + 1
+
+
+@NONE_LEFT
+def test_attempts_that_find_no_descriptor_do_not_go_on_closing_others(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One connection after the other becomes idle, and each could make room, which others would get."""
+
+    async def scene(loop: Loop) -> None:
+        closed, idle = list[float](), list[int]()
+
+        def close_idle() -> bool:
+            if not idle:
+                return False
+            idle.pop()
+            closed.append(loop.time())
+            return True
+
+        loop.room.makers.append(close_idle)
+        upstream, ends = Upstream(8, 60_000, 1000), list[Outcome]()
+        sockets = Sockets(monkeypatch, number)
+        sockets.lacking = 1000
+        began_s = loop.time()
+        for _ in range(30):
+            idle.append(1)
+            ends.clear()
+            upstream.send(("h", ("127.0.0.1", 9)), FakeCall(), 2000, lambda end, _: ends.append(end))
+            await until(lambda: ends)
+            assert ends == [Outcome.NOT_SENT]
+        pauses = (loop.time() - began_s) // descriptors.PAUSE_S + 1
+        sockets.lacking = 0
+        assert len(closed) <= descriptors.TRIES * pauses
+
+    play(scene)
 
 
 # The whole program
