--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -31,9 +31,10 @@
 from cloverrouter.proxy.carrier import Sent
 from cloverrouter.proxy.containment import Periodic, contained_errors_of
 from cloverrouter.proxy.descriptors import missing, room_of
+from cloverrouter.proxy.exchange import Host, OnBegin, OnEnd
+from cloverrouter.proxy.exchange import outcome_of as outcome_of_answer
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
-from cloverrouter.proxy.upstream import IDLE_SHARE, Host, OnBegin, OnEnd
-from cloverrouter.proxy.upstream import outcome_of as outcome_of_answer
+from cloverrouter.proxy.upstream import IDLE_SHARE
 
 SWEEP_S = 0.5
 READ_AT_ONCE = 16  # datagrams, then the others have their turn
--- a/cloverrouter/lab/hollow.py
+++ b/cloverrouter/lab/hollow.py
@@ -35,9 +35,9 @@
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_seed, read_settings
 from cloverrouter.proxy.containment import UncontainedErrors
 from cloverrouter.proxy.discovery import Watch
+from cloverrouter.proxy.exchange import Host
 from cloverrouter.proxy.lag import LagMeter
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import Host
 from cloverrouter.proxy.wake import Loop, wake_of
 from cloverrouter.values import replace
 
--- a/cloverrouter/lab/simproxy.py
+++ b/cloverrouter/lab/simproxy.py
@@ -19,10 +19,11 @@
 from cloverrouter.membership.watching import Asking, Ledger, Question
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.containment import UncontainedErrors
+from cloverrouter.proxy.exchange import Host, OnBegin, OnEnd
 from cloverrouter.proxy.messages import Answer, Call
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.observer import Final, Tried
-from cloverrouter.proxy.upstream import IDLE_SHARE, Host, OnBegin, OnEnd
+from cloverrouter.proxy.upstream import IDLE_SHARE
 from cloverrouter.proxy.wake import Wake
 
 if TYPE_CHECKING:
--- a/cloverrouter/proxy/carrier.py
+++ b/cloverrouter/proxy/carrier.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from cloverrouter.interface import Sign
+from cloverrouter.proxy.exchange import Host, OnBegin, OnEnd
 from cloverrouter.proxy.messages import Call
-from cloverrouter.proxy.upstream import Host, OnBegin, OnEnd
 
 
 class Sent(Protocol):
--- a/cloverrouter/proxy/open_requests.py
+++ b/cloverrouter/proxy/open_requests.py
@@ -4,9 +4,9 @@
 
 from cloverrouter.clock import Handle
 from cloverrouter.proxy.carrier import Sent
+from cloverrouter.proxy.exchange import Host
 from cloverrouter.proxy.messages import AnswerSink, Call
 from cloverrouter.proxy.observer import Tried
-from cloverrouter.proxy.upstream import Host
 
 
 class OpenAttempt:
--- a/tests/endings/test_gone.py
+++ b/tests/endings/test_gone.py
@@ -27,10 +27,12 @@
     Settings,
 )
 from cloverrouter.lab.peers import Host, Respond, Seen, never, ok
-from cloverrouter.proxy import upstream
+from cloverrouter.proxy import server_pool
 from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.proxy.exchange import Exchange
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.node import Node
+from cloverrouter.proxy.server_connection import ServerConnection
 from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.validity import Gate
 from cloverrouter.proxy.wake import Loop
@@ -68,13 +70,13 @@
 def noted(monkeypatch: pytest.MonkeyPatch) -> None:
     """Danger: a server never sees what a reset overtakes, and the attempt has begun all the same."""
     BEGUN.clear()
-    real = upstream.Connection.send
+    real = ServerConnection.send
 
-    def send(self: upstream.Connection, exchange: upstream.Exchange) -> None:
+    def send(self: ServerConnection, exchange: Exchange) -> None:
         BEGUN.append(exchange.message[0])
         real(self, exchange)
 
-    monkeypatch.setattr(upstream.Connection, "send", send)
+    monkeypatch.setattr(ServerConnection, "send", send)
 
 
 def begun(name: str) -> int:
@@ -84,7 +86,7 @@
 @pytest.fixture(params=[0.0, 60.0], ids=["pooled", "new"])
 def out_on(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> None:
     """Attempts go out on a connection that is there, or each on a new one that has to come up."""
-    monkeypatch.setattr(upstream, "SETTLE_S", request.param)
+    monkeypatch.setattr(server_pool, "SETTLE_S", request.param)
 
 
 def request(name: str, target: str = "/unsafe", length: int = 0) -> bytes:
--- a/tests/faults/test_containment.py
+++ b/tests/faults/test_containment.py
@@ -29,16 +29,18 @@
 )
 from cloverrouter.lab.peers import Discovery, Host, Seen, never, ok
 from cloverrouter.proxy import client_connection, listener
-from cloverrouter.proxy import upstream as upstream_module
 from cloverrouter.proxy.client_connection import ClientConnection
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock, read_known, read_list
 from cloverrouter.proxy.containment import ContainedErrors, Periodic
 from cloverrouter.proxy.discovery import Watch
+from cloverrouter.proxy.exchange import Exchange
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.messages import Answer
 from cloverrouter.proxy.node import Node
 from cloverrouter.proxy.observer import Final, Observer, joined
-from cloverrouter.proxy.upstream import Pool, Upstream
+from cloverrouter.proxy.server_connection import ServerConnection
+from cloverrouter.proxy.server_pool import ServerPool
+from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.proxy.wake import Loop
 from tests.endings.test_front import asking_last
 from tests.endings.test_gone import SETTINGS, Whole, played, request, serving
@@ -294,7 +296,7 @@
         node.arrived(call)
         await host.wait(lambda: bool(host.seen))
         attempt = next(iter(node._requests.values())).out[0]
-        monkeypatch.setattr(upstream_module.Exchange, "abandon", boom)
+        monkeypatch.setattr(Exchange, "abandon", boom)
         node.gone(call)
         assert not attempt.request.out and not node.is_open(b"a")
         assert any(isinstance(event, AttemptEnded) for event in events)
@@ -413,7 +415,7 @@
     """A server's restart may end thousands at once: no step of the search may stand on the one before."""
 
     async def scene(loop: Loop) -> None:
-        pool = Pool(Upstream(8, 60_000, 1000), ("h", ("127.0.0.1", 1)))
+        pool = ServerPool(Upstream(8, 60_000, 1000), ("h", ("127.0.0.1", 1)))
 
         class Ended:
             idle_since, idle_s = loop.time() - 1.0, 0.0
@@ -437,13 +439,13 @@
     async def scene(loop: Loop) -> None:
         host = await Host("h", never).start()
         upstream = Upstream(8, 60_000, 1000)
-        real = upstream_module.Connection.send
+        real = ServerConnection.send
 
-        def send(self: upstream_module.Connection, exchange: upstream_module.Exchange) -> None:
+        def send(self: ServerConnection, exchange: Exchange) -> None:
             real(self, exchange)
             boom()
 
-        monkeypatch.setattr(upstream_module.Connection, "send", send)
+        monkeypatch.setattr(ServerConnection, "send", send)
         ends: list[Outcome] = []
         address = ("127.0.0.1", host.port)
         upstream.send(("h", address), FakeCall(), 2000, lambda outcome, _: ends.append(outcome))
--- a/tests/http3/test_carrier.py
+++ b/tests/http3/test_carrier.py
@@ -19,8 +19,8 @@
 from cloverrouter.interface import Outcome, Sign
 from cloverrouter.lab.certificates import Authority
 from cloverrouter.lab.quic import LIBRARIES, Asked, QuicHost, Respond, done, silent
+from cloverrouter.proxy.exchange import Host
 from cloverrouter.proxy.messages import MOST_BODY, Answer, Call, Upload
-from cloverrouter.proxy.upstream import Host
 from tests.http3.scenes import played_in, until
 
 REJECTED, CANCELLED, NO_ERROR, INTERNAL = 0x10B, 0x10C, 0x100, 0x102
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -30,7 +30,8 @@
 from cloverrouter.proxy.config import HostEntry, HostList
 from cloverrouter.proxy.messages import Answer
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import Connection, Upstream
+from cloverrouter.proxy.server_connection import ServerConnection
+from cloverrouter.proxy.upstream import Upstream
 from tests.test_upstream import FakeCall, full_listener, until
 
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -316,7 +317,7 @@
             await asyncio.sleep(0.3)  # timers of the last requests
             assert not module.held or all(entry[2].done for entry in module.held)
             gc.collect()
-            alive = sum(isinstance(o, Connection) for o in gc.get_objects())
+            alive = sum(isinstance(o, ServerConnection) for o in gc.get_objects())
             assert alive == len(upstream.connections)
             sizes.append((len(upstream._pools), len(module.membership.endpoints), len(node._addresses)))
         assert set(sizes[1:]) == {sizes[-1]}
--- a/tests/test_listed.py
+++ b/tests/test_listed.py
@@ -11,8 +11,8 @@
 from cloverrouter.lab.engine import Engine
 from cloverrouter.lab.peers import SETTINGS
 from cloverrouter.proxy.config import Address, HostEntry, HostList, read_settings
+from cloverrouter.proxy.exchange import Host
 from cloverrouter.proxy.node import Node
-from cloverrouter.proxy.upstream import Host
 
 STATES = (EndpointState.READY, EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE)
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -38,9 +38,10 @@
     reset,
     running,
 )
-from cloverrouter.proxy import upstream
+from cloverrouter.proxy import server_connection
 from cloverrouter.proxy.keeping import MOST_EACH, Keeping
 from cloverrouter.proxy.messages import MAX_BODY, MOST_BODY, Upload
+from cloverrouter.proxy.upstream import Upstream
 from cloverrouter.values import replace
 from cloverrouter.view import believed
 from tests.driver import SAFE, SETTINGS, UNSAFE, Driver
@@ -381,7 +382,7 @@
 @pytest.mark.parametrize("answers", [True, False], ids=["half an answer", "no reading"])
 def test_host_that_stops_under_way_is_given_up(answers: bool, monkeypatch: pytest.MonkeyPatch) -> None:
     """Of a long answer nothing more comes, or of a long body nothing more is read."""
-    monkeypatch.setattr(upstream, "STALL_S", 0.3)
+    monkeypatch.setattr(server_connection, "STALL_S", 0.3)
     cuts: list[str] = []
 
     class Taker:
@@ -405,7 +406,7 @@
     async def scene() -> None:
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
         port = server.sockets[0].getsockname()[1]
-        carrier, call, ends = upstream.Upstream(8, 60_000, 1000), FakeCall(), list[Outcome]()
+        carrier, call, ends = Upstream(8, 60_000, 1000), FakeCall(), list[Outcome]()
         if not answers:
             call.upload = Upload(LARGE, lambda: None, lambda: None)
             call.upload.feed(bytes(LARGE - 1))
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -373,8 +373,8 @@
 
 SHORT = """
 import sys
-from cloverrouter.proxy import client_connection, upstream
-client_connection.STALL_S = upstream.STALL_S = client_connection.UNREAD_S = 1.0
+from cloverrouter.proxy import client_connection, server_connection
+client_connection.STALL_S = server_connection.STALL_S = client_connection.UNREAD_S = 1.0
 from cloverrouter.proxy.service import main
 sys.exit(main())
 """
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -195,7 +195,7 @@
         node = node_with(Answerer(0.1, b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx").address)
         events = told(node, monkeypatch)
         if not kernel_tells:
-            monkeypatch.setattr("cloverrouter.proxy.upstream.data_age_s", lambda sock: None)
+            monkeypatch.setattr("cloverrouter.proxy.server_connection.data_age_s", lambda sock: None)
         call = call_of(loop, 5000)
         node.arrived(call)
         await asyncio.sleep(0.02)
