--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -145,9 +145,9 @@
 
 
 async def answered_twice(delay_s: float) -> tuple[list[bytes], int]:
-    """Ask some requests, each of which is answered again after `delay_s`: the answers they got, and how many of
-    these have no copy before them that came too late. Both sides are in this process, and a busy machine stops
-    it between an answer and its copy."""
+    """Ask some requests, each of which is answered again after `delay_s`: the answers they got, and how many
+    of these have no copy before them that came too late. Both sides are in this process, and a busy machine
+    stops it between an answer and its copy."""
     host = await Host("h").start()
     upstream = Upstream(8, 60_000, 1000)
     late_copies: list[int] = []
