simproxy.py: clock, client's call and carrier are modules of their own; guards have tests

Tests: a wait for the processor is no catching up; attempts that get a descriptor have room made each time.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from cloverrouter.lab.scenario import Scenario, build, load, plain
-from cloverrouter.lab.simproxy import SimCarrier
+from cloverrouter.lab.simcarrier import SimCarrier
 from cloverrouter.lab.simulation import Simulation, simulate
 from cloverrouter.lab.text import table
 
--- a/tests/lab/test_monitors.py
+++ b/tests/lab/test_monitors.py
@@ -16,7 +16,7 @@
 from cloverrouter.lab.monitors import Monitors, RuleBroken
 from cloverrouter.lab.scenario import Class, Safety
 from cloverrouter.lab.shrink import rule_of
-from cloverrouter.lab.simproxy import SimCall
+from cloverrouter.lab.simcall import SimCall
 from cloverrouter.lab.simulation import simulate
 from cloverrouter.proxy import node
 
--- a/tests/lab/test_stops.py
+++ b/tests/lab/test_stops.py
@@ -9,7 +9,7 @@
 
 from cloverrouter.lab.account import Result
 from cloverrouter.lab.scenario import Scenario, build, load, plain
-from cloverrouter.lab.simproxy import SimCall
+from cloverrouter.lab.simcall import SimCall
 from cloverrouter.lab.simulation import simulate
 from cloverrouter.strict import FileError
 
--- a/tests/test_busy.py
+++ b/tests/test_busy.py
@@ -10,7 +10,7 @@
 
 from cloverrouter.decide import COVER, UTIL_MOST, Flow
 from cloverrouter.interface import AttemptEnded, Outcome
-from cloverrouter.lab import simproxy, world
+from cloverrouter.lab import simcarrier, world
 from cloverrouter.lab.scenario import Scenario, load
 from cloverrouter.lab.server import Job, Reply, Server
 from cloverrouter.lab.simulation import Simulation
@@ -137,7 +137,7 @@
         self.loop.call_later(IO_S, reply, answer)
 
 
-def _text(self: simproxy.SimCarrier, server: str, reading: tuple[float, ...]) -> bytes:
+def _text(self: simcarrier.SimCarrier, server: str, reading: tuple[float, ...]) -> bytes:
     return b"util=%.3f,qps=%.2f,eps=%.2f" % reading
 
 
@@ -145,7 +145,7 @@
 def day(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> Scenario:
     monkeypatch.setattr(world, "Server", BusyServer)
     monkeypatch.setattr(world, "REPORT_FIELDS", FIELDS)
-    monkeypatch.setattr(simproxy.SimCarrier, "_report", _text)
+    monkeypatch.setattr(simcarrier.SimCarrier, "_report", _text)
     path = tmp_path / "day.toml"
     path.write_text(DAY)
     return load(str(path))
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -18,7 +18,7 @@
 import pytest
 
 from cloverrouter.interface import Outcome, Sign
-from cloverrouter.lab.peers import LONG_S, Client, Discovery, Host, Proxy, running
+from cloverrouter.lab.peers import LONG_S, Client, Discovery, Host, Proxy, never, running
 from cloverrouter.proxy import descriptors, discovery
 from cloverrouter.proxy.client_connection import ClientConnection
 from cloverrouter.proxy.config import HostList, UnixClock
@@ -329,6 +329,32 @@
     play(scene)
 
 
+@NONE_LEFT
+def test_attempts_that_get_a_descriptor_by_it_have_room_made_each_time(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene(loop: Loop) -> None:
+        host = await Host("h", never).start()
+        made: list[float] = []
+
+        def make_room() -> bool:
+            made.append(loop.time())
+            return True
+
+        loop.room.makers.append(make_room)
+        upstream, began = Upstream(8, 60_000, 1000), list[int]()
+        sockets = Sockets(monkeypatch, number)
+        times = descriptors.TRIES + 2
+        for i in range(times):
+            sockets.lacking = 1
+            upstream.send(("h", ("127.0.0.1", host.port)), FakeCall(), 2000, lambda end, _: began.append(1))
+            await until(lambda i=i: upstream.connects == i + 1 and not sockets.lacking)  # type: ignore[misc]
+            await until(lambda i=i: len(upstream.connections) == i + 1)  # type: ignore[misc]
+        assert len(made) == times and not began
+
+    play(scene)
+
+
 @pytest.mark.parametrize("number", [errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM])
 def test_own_lack_while_connecting_does_not_count_against_its_host(
     number: int, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -150,6 +150,34 @@
     play(scene)
 
 
+def test_wait_for_the_processor_does_not_end_the_time_to_read_what_came_in_a_gap() -> None:
+    """A loop that has something to read all the time, and gets the processor late at each look."""
+
+    async def scene(loop: Loop) -> None:
+        ours, theirs = socket.socketpair()
+        caught_up: list[float] = []
+        real = selectors.DefaultSelector.select
+
+        def select(self: Any, timeout: float | None = None) -> Any:
+            found = real(self, timeout)
+            time.sleep(4 * wake.WAITED_S)
+            return found
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(selectors.DefaultSelector, "select", select)
+            patch.setattr(loop.wake.overload, "caught_up", caught_up.append)
+            theirs.send(b"x")
+            loop.add_reader(ours, lambda: None)
+            loop.wake.overload.gap(1.0)
+            await asyncio.sleep(0.05)
+            assert not caught_up
+            loop.remove_reader(ours)
+            await asyncio.sleep(0.05)
+            assert caught_up
+
+    play(scene)
+
+
 def test_own_long_step_is_told_from_a_stop(monkeypatch: pytest.MonkeyPatch) -> None:
     # On a busy machine the step gets a part of a core only; a stop uses next to nothing of it.
     monkeypatch.setattr("cloverrouter.membership.standing.OWN_SHARE", 0.03)
