A watch of discovery that has ended is not begun again as the loop closes

A call to discovery had failed 45 ms before; the decisions' next wish for a list came while the loop cancelled what was left, and began a watch that nobody cancelled any more. Exit code and answers were right. Change: Watch.start does nothing after Watch.stop.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -148,6 +148,7 @@
         self._errors = contained_errors_of(asyncio.get_running_loop())
         self._task: asyncio.Task[None] | None = None
         self._out: Call | None = None
+        self._stopped = False
         self._late: list[Call] = []  # given up; what they bring is still heard
         self.asking = asking_pushed(drain_grace_s) if pushed else Asking()
         self._ledger = Ledger()
@@ -162,7 +163,8 @@
         self._ledger = Ledger(version)
 
     def start(self) -> None:
-        if self._task is None or self._task.done():
+        """Ask, if it does not yet; never again after `stop`."""
+        if not self._stopped and (self._task is None or self._task.done()):
             self._task = asyncio.get_running_loop().create_task(self._run(self._line))
 
     def move(self, address: Address) -> None:
@@ -178,6 +180,9 @@
         self.start()
 
     def stop(self) -> None:
+        """Ask no more. Danger: the decisions go on for the last steps of the process, and may ask for a list:
+        a call that began then would be cut off, and said to be lost, as the loop closes."""
+        self._stopped = True
         self._drop_late()
         self._stop()
 
--- a/tests/endings/test_watch.py
+++ b/tests/endings/test_watch.py
@@ -225,3 +225,20 @@
         server.close()
 
     asyncio.run(scene())
+
+
+def test_watch_that_has_ended_asks_no_more_whoever_wants_it_to() -> None:
+    """The decisions ask for a list in the last steps of a process, as the loop is being closed."""
+
+    async def scene() -> None:
+        discovery = await Discovery().start()
+        watch = watch_of(discovery.port, [], [])
+        watch.start()
+        await discovery.asked(1)
+        watch.stop()
+        await asyncio.sleep(0.05)
+        others = asyncio.all_tasks()
+        watch.start()
+        assert asyncio.all_tasks() == others
+
+    asyncio.run(scene())
