Known red: gentle eviction closes an idle connection ahead of a crowd of silent ones

Eviction.candidate spares silent connections of under 0.5 s where room is made gently, also where they are a crowd, and takes the idle one instead.

--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -119,6 +119,29 @@
     play(scene)
 
 
+def test_crowd_of_silent_connections_makes_room_ahead_of_one_that_has_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Also where room is made gently, as it is while what is accepted has waited and half of the places are
+    taken: nobody of a crowd is spared."""
+
+    async def scene(loop: Loop) -> None:
+        frontend, _, address = await front_of(loop, 8)
+        now_s = frontend.ran_s()
+        monkeypatch.setattr(frontend, "ran_s", lambda: now_s)  # the silent ones have just come
+        asked = connect(address, b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await answer_on(loop, asked)).startswith(b"HTTP/1.1 200")
+        silent = [connect(address) for _ in range(4)]
+        await until(lambda: frontend.count == 5)
+        assert frontend.evict(gently=True)
+        asked.send(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert (await answer_on(loop, asked)).startswith(b"HTTP/1.1 200")
+        for one in (asked, *silent):
+            one.close()
+
+    play(scene)
+
+
 def test_request_of_which_a_part_has_come_is_refused_when_it_is_whole(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
