Bans: no state of the shared file ends one; the latest change of a host applies

The bans were gone for the next process, too.

The file that processes of one proxy share was the authority over the bans in force, and three parts made it lose them: - `Management._save_and_respond` copied all records of other hosts, lifted ones as well, and nothing dropped them; `Store.save` wrote any number, while `decode` rejected more than 1,000. - `SharedBanFile.update`, the writer, read that file as empty, moved it aside without a word, and wrote its own one record in its place: a valid file without the other bans. - the poll replaced the bans in memory by what the file held.

Processes exchange records, and the latest change of a host applies (`merge_records`); a record that is missing changes nothing. `management/sharing.py` writes what the file lacks again: after damage, deletion, an older copy, a full disk. One write serves all calls that wait for it, in a thread, as the poll's reads are now (they held the event loop while another process wrote). Lifted bans leave the file after 10 minutes. Writer and reader apply the bounds of `roster/limits.py`; what could not be read is not written. A call that may rest on what another process has changed since the last poll reads the file first.

Why it works: a ban ends only by a record of its lift, and no writer omits a ban in force.

Changed tests: `test_poll_of_the_ban_file_does_not_undo_...` and `test_concurrent_updates_...` use the file's new call and assert what they did; `test_known_ids_and_bans_are_bounded` keeps each bound, and reads back what it stored.

--- a/cloverrouter/management/shell.py
+++ b/cloverrouter/management/shell.py
@@ -1,7 +1,7 @@
-"""The listener of the management interface, and the ban file that the processes of one proxy share.
+"""The listener of the management interface.
 
 Does the I/O for `calls`, `bans` and `figures`. A ban is in force in this process in the event loop step that
-parses the call. The response is sent once the file is written; other processes poll the file every 0.1 s.
+parses the call. The response is sent once the file that processes share is written (`sharing`).
 """
 
 from __future__ import annotations
@@ -18,14 +18,14 @@
 from cloverrouter.management.bans import Bans
 from cloverrouter.management.calls import CallError, CallKind, CallParser, OperatorCall, encode_response
 from cloverrouter.management.figures import Figures
-from cloverrouter.management.file import FileStamp, SharedBanFile
+from cloverrouter.management.sharing import SharedBans
 from cloverrouter.proxy.config import Address, HostList, UnixClock
 from cloverrouter.proxy.node import Node
-from cloverrouter.roster.overlay import Drain, TooManyDrains, UnknownServer
+from cloverrouter.roster.limits import MAX_DRAINS
+from cloverrouter.roster.overlay import TooManyDrains, UnknownServer
 
 MAX_CALLERS = 64
 CALL_TIMEOUT_S = 2.5  # limits how long an incomplete call holds a descriptor
-POLL_INTERVAL_S = 0.1
 BACKLOG = 128
 # asyncio's server accepts up to `backlog` connections in one step, before `add` counts any of them. Accepting
 # all that wait in the socket's queue could leave no descriptors for requests or the call to discovery.
@@ -33,6 +33,7 @@
 # Discovery answers at once if it has changes to the list that was stored before the start of this process, so
 # after this time without an answer that list counts as current.
 DISCOVERY_WAIT_S = 0.5
+TOO_MANY_OUT = f"{MAX_DRAINS} hosts are out, and no more can be: give back those that are gone\n".encode()
 log = logging.getLogger(__name__)
 
 
@@ -119,21 +120,8 @@
         self._started_s = time.monotonic()
         self._callers: dict[CallerConnection, None] = {}
         self._server: asyncio.Server | None = None
-        self._save_lock = asyncio.Lock()
-        self._save_tasks: set[asyncio.Task[None]] = set()
-        self._poll_timer: asyncio.TimerHandle | None = None
-        self._stamp: FileStamp | None = None
-        self._file: SharedBanFile | None = None
-        try:
-            self._file = SharedBanFile(directory)
-            self._stamp = self._file.stamp()
-            records, moved_to = self._file.load()
-        except OSError as error:
-            log.error("bans are not shared with other processes: %s", error)
-        else:
-            if moved_to is not None:
-                log.error("the ban file could not be read, no host is banned; moved to %s", moved_to)
-            self._bans.load_shared(records, _now_ms())
+        self._shared = SharedBans(self._bans, directory, self._deliver_update)
+        self._responses: set[asyncio.Task[None]] = set()
 
     def attach(self, node: Node, deliver_list: Callable[[ListKind, HostList], None]) -> None:
         """Set the node, and the function that delivers lists to it."""
@@ -144,6 +132,10 @@
         self._list_received = self._list_received or kind is not ListKind.RESTORED
         self._deliver_list(kind, self._bans.listed(kind, found))
 
+    def _deliver_update(self, update: HostList) -> None:
+        assert self._deliver_list is not None
+        self._deliver_list(ListKind.DELTA, update)
+
     async def listen(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
         sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
@@ -157,12 +149,11 @@
             lambda: CallerConnection(self), sock=sock, backlog=MAX_ACCEPTS_PER_STEP
         )
         sock.listen(BACKLOG)
-        self._poll_file()
+        self._shared.poll()
         log.info("management interface listens on %s:%d", *address)
 
     def close(self) -> None:
-        if self._poll_timer is not None:
-            self._poll_timer.cancel()
+        self._shared.close()
         if self._server is not None:
             self._server.close()
         for caller in list(self._callers):
@@ -209,63 +200,22 @@
     # Bans
 
     def _change_ban(self, caller: CallerConnection, call: OperatorCall) -> None:
-        assert self._deliver_list is not None
-        now_ms = _now_ms()
-        banned = call.kind is CallKind.BAN
         try:
-            update = (self._bans.ban if banned else self._bans.lift)(call.host, now_ms)
+            change = self._shared.set_banned(call.host, call.kind is CallKind.BAN)
         except UnknownServer:
             caller.respond(404, f"no host was ever listed as {call.host!r}\n".encode())
             return
         except TooManyDrains:
-            caller.respond(503, b"too many hosts are out\n")
-            return
-        log.warning("%s %s by an operator's call", call.host, "out" if banned else "back")
-        if update is not None:
-            self._deliver_list(ListKind.DELTA, update)
-        task = asyncio.get_running_loop().create_task(self._save_and_respond(caller, call.host))
-        self._save_tasks.add(task)
-        task.add_done_callback(self._save_tasks.discard)
-
-    async def _save_and_respond(self, caller: CallerConnection, host: str) -> None:
-        """Write the host's ban to the file in a thread: a slow fsync would delay every request."""
-        ban_file = self._file
-        if ban_file is not None:
-            async with self._save_lock:
-                own_record = next((d for d in self._bans.records(_now_ms()) if d.server == host), None)
-
-                def edit(stored: list[Drain]) -> list[Drain]:
-                    others = [d for d in stored if d.server != host]
-                    return others if own_record is None else [*others, own_record]
-
-                try:
-                    await asyncio.get_running_loop().run_in_executor(None, ban_file.update, edit)
-                except OSError as error:
-                    log.error("the ban change is in force, but not shared with other processes: %s", error)
-        caller.respond(200, b"done\n")
-
-    def _poll_file(self) -> None:
-        """Load the bans if another process has written the file."""
-        self._poll_timer = asyncio.get_running_loop().call_later(POLL_INTERVAL_S, self._poll_file)
-        # While a change of this process is not yet written, loading the file would undo it.
-        if self._file is None or self._save_tasks:
+            caller.respond(503, TOO_MANY_OUT)
             return
-        try:
-            stamp = self._file.stamp()
-            if stamp == self._stamp:
-                return
-            records, _moved_to = self._file.load()
-        except OSError as error:
-            log.error("bans of another process can't be read: %s", error)
-            return
-        self._stamp = stamp
-        update = self._bans.load_shared(records, _now_ms())
-        if update is not None and self._deliver_list is not None:
-            log.warning(
-                "bans loaded from another process; banned hosts: %s", ", ".join(self._bans.drains) or "none"
-            )
-            self._deliver_list(ListKind.DELTA, update)
-
+        response = asyncio.get_running_loop().create_task(self._respond_when_saved(caller, change))
+        self._responses.add(response)
+        response.add_done_callback(self._responses.discard)
 
-def _now_ms() -> float:
-    return time.time() * 1000
+    async def _respond_when_saved(self, caller: CallerConnection, change: asyncio.Task[None]) -> None:
+        try:
+            await change
+        except TooManyDrains:
+            caller.respond(503, TOO_MANY_OUT)
+        else:
+            caller.respond(200, b"done\n")
--- a/cloverrouter/roster/overlay.py
+++ b/cloverrouter/roster/overlay.py
@@ -11,10 +11,9 @@
 
 from cloverrouter.interface import EndpointState, ListKind
 from cloverrouter.proxy.config import HostEntry, HostList
+from cloverrouter.roster.limits import MAX_DRAINS
 from cloverrouter.values import Value, replace
 
-MOST_DRAINS = 1000  # bounds the state against a faulty script
-
 
 class Drain(Value):
     """A server gets no new requests. `until_ms` None: until an operator restores it."""
@@ -48,7 +47,7 @@
 
 
 class TooManyDrains(Exception):
-    """The limit of `MOST_DRAINS` drains is reached."""
+    """The limit of `MAX_DRAINS` drains is reached."""
 
 
 class Overlay:
@@ -116,7 +115,7 @@
         )
 
     def _check_drain_limit(self) -> None:
-        if len(self.drains) >= MOST_DRAINS:
+        if len(self.drains) >= MAX_DRAINS:
             raise TooManyDrains
 
     def restore(self, server: str) -> Change:
--- a/cloverrouter/roster/store.py
+++ b/cloverrouter/roster/store.py
@@ -15,27 +15,36 @@
 from typing import Any
 from zlib import crc32
 
-from cloverrouter.roster.overlay import MOST_DRAINS, Drain
+from cloverrouter.roster.limits import MAX_FILE_BYTES, MAX_RECORDS, MAX_SET_ASIDE_FILES
+from cloverrouter.roster.overlay import Drain
 
 MAGIC = "cloverrouter-drains"
 VERSION = 1
 FILE = "drains"
-MOST_BYTES = 1024 * 1024
+FileStamp = tuple[int, int, int]  # identifies a version of the file: mtime in ns, inode, size
 
 
 class UnreadableState(Exception):
     """The data is not a drains file, or is truncated or corrupt."""
 
 
+class StateTooLarge(OSError):
+    """There are more drains than a file may hold; nothing was written."""
+
+
 def encode(drains: Iterable[Drain]) -> bytes:
-    body = json.dumps(
-        [
-            {"server": d.server, "by": d.by, "since_ms": d.since_ms, "until_ms": d.until_ms, "note": d.note}
-            for d in drains
-        ],
-        ensure_ascii=False,
-    ).encode()
-    return f"{MAGIC} {VERSION} {len(body)} {crc32(body):08x}\n".encode() + body
+    """Return the content of the file. Raises `StateTooLarge` for more than `Store.load` accepts."""
+    entries = [
+        {"server": d.server, "by": d.by, "since_ms": d.since_ms, "until_ms": d.until_ms, "note": d.note}
+        for d in drains
+    ]
+    if len(entries) > MAX_RECORDS:
+        raise StateTooLarge(f"{len(entries)} drains, where a file holds {MAX_RECORDS} at most")
+    body = json.dumps(entries, ensure_ascii=False).encode()
+    data = f"{MAGIC} {VERSION} {len(body)} {crc32(body):08x}\n".encode() + body
+    if len(data) > MAX_FILE_BYTES:
+        raise StateTooLarge(f"{len(data)} bytes of drains, where a file holds {MAX_FILE_BYTES} at most")
+    return data
 
 
 def decode(data: bytes) -> list[Drain]:
@@ -55,8 +64,10 @@
         drains = [_drain(entry) for entry in entries]
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise UnreadableState(f"its entries can't be read: {error}") from error
-    if len(drains) > MOST_DRAINS or len({d.server for d in drains}) != len(drains):
-        raise UnreadableState("it names a server twice, or too many")
+    if len(drains) > MAX_RECORDS:
+        raise UnreadableState(f"it has {len(drains)} entries, where {MAX_RECORDS} are the most")
+    if len({d.server for d in drains}) != len(drains):
+        raise UnreadableState("it names a server twice")
     return drains
 
 
@@ -77,6 +88,13 @@
     def __init__(self, directory: Path) -> None:
         self.path = directory / FILE
 
+    def stamp(self) -> FileStamp | None:
+        """The version of the file, which changes with every save; None without a file. Raises OSError."""
+        try:
+            return _stamp(self.path.stat())
+        except FileNotFoundError:
+            return None
+
     def load(self) -> tuple[list[Drain], str | None]:
         """Return the drains, and where an unreadable file was moved, with the reason, or None.
 
@@ -86,26 +104,29 @@
         self._temporary.unlink(missing_ok=True)
         try:
             with self.path.open("rb") as file:
-                data = file.read(MOST_BYTES + 1)
+                data = file.read(MAX_FILE_BYTES + 1)
         except FileNotFoundError:
             return [], None
         try:
-            if len(data) > MOST_BYTES:
-                raise UnreadableState("it is far too large")
+            if len(data) > MAX_FILE_BYTES:
+                raise UnreadableState(f"it has more than {MAX_FILE_BYTES} bytes")
             return decode(data), None
         except UnreadableState as error:
-            number = 1
-            while (aside := self.path.with_name(f"{FILE}.unreadable-{number}")).exists():
-                number += 1
+            aside = self._next_aside()
             self.path.rename(aside)
             return [], f"{aside}: {error}"
 
+    def _next_aside(self) -> Path:
+        """The path to which an unreadable file is moved; the last of them is overwritten once all exist."""
+        paths = [self.path.with_name(f"{FILE}.unreadable-{i + 1}") for i in range(MAX_SET_ASIDE_FILES)]
+        return next((path for path in paths if not path.exists()), paths[-1])
+
     @property
     def _temporary(self) -> Path:
         return self.path.with_name(f"{FILE}.new")
 
-    def save(self, drains: Iterable[Drain]) -> None:
-        """Replace the file atomically. On OSError the old file is still in place.
+    def save(self, drains: Iterable[Drain]) -> FileStamp:
+        """Replace the file atomically; return its version. On OSError the old file is still in place.
 
         The data is synced before the rename, and the directory before the return: a power failure leaves
         either the old state or the new one.
@@ -117,6 +138,7 @@
                 file.write(data)
                 file.flush()
                 os.fsync(file.fileno())
+                stamp = _stamp(os.fstat(file.fileno()))
             os.replace(self._temporary, self.path)
         except OSError:
             self._temporary.unlink(missing_ok=True)
@@ -126,3 +148,8 @@
             os.fsync(folder)
         finally:
             os.close(folder)
+        return stamp
+
+
+def _stamp(status: os.stat_result) -> FileStamp:
+    return status.st_mtime_ns, status.st_ino, status.st_size
--- a/cloverrouter/seams.py
+++ b/cloverrouter/seams.py
@@ -20,6 +20,7 @@
     from cloverrouter.roster import Keeper
 
 Value = str | int | float | bool | None
+MAX_TEXT_CHARS = 200  # of a text that is an argument of a command
 Json = dict[str, Any]
 log = logging.getLogger(__name__)
 
@@ -136,8 +137,9 @@
             }
             right = f"{argument.name} must be {kind_texts[argument.kind.__name__]}: {argument.help}"
             raise CommandError("bad_argument", f"{argument.name} is {value!r}", right)
-        if isinstance(value, str) and len(value) > 200:
-            raise CommandError("bad_argument", f"{argument.name} is too long", "at most 200 characters")
+        if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+            right = f"at most {MAX_TEXT_CHARS} characters"
+            raise CommandError("bad_argument", f"{argument.name} is too long", right)
         too_low = (
             argument.minimum is not None and isinstance(value, int | float) and not value >= argument.minimum
         )
--- a/tests/management/test_loopback.py
+++ b/tests/management/test_loopback.py
@@ -16,7 +16,6 @@
 
 import pytest
 
-from cloverrouter.interface import ListedEndpoint, ListKind
 from cloverrouter.lab.peers import (
     Account,
     Discovery,
@@ -30,12 +29,11 @@
     working_host,
 )
 from cloverrouter.lab.process import own_address
-from cloverrouter.management.calls import CallKind, OperatorCall
 from cloverrouter.management.file import SharedBanFile
-from cloverrouter.management.shell import CALL_TIMEOUT_S, MAX_CALLERS, CallerConnection, Management
-from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
+from cloverrouter.management.shell import CALL_TIMEOUT_S, MAX_CALLERS
 from cloverrouter.proxy.presence import Presence
 from cloverrouter.roster.overlay import Drain
+from tests.management.processes import managed_process
 
 OPERATOR_TIMEOUT_S = 1.0  # an operator waits this long for a response
 
@@ -273,7 +271,7 @@
     def write(process: int) -> None:
         ban_file = SharedBanFile(tmp_path)
         for i in range(count):
-            ban_file.update(lambda bans, i=i: [*bans, Drain(f"{process}-{i}", "test", 0.0)])  # type: ignore[misc]
+            ban_file.exchange([Drain(f"{process}-{i}", "test", 0.0)], 0.0)
 
     children = []
     for process in range(3):
@@ -288,25 +286,14 @@
 
 
 def test_poll_of_the_ban_file_does_not_undo_a_ban_that_is_not_yet_written(tmp_path: Path) -> None:
-    class RecordingConnection(CallerConnection):
-        def respond(self, status: int, body: bytes) -> None:
-            statuses.append(status)
-
-    statuses: list[int] = []
-
     async def scene() -> None:
-        management = Management(UnixClock(), tmp_path, lambda: (), lambda: False)
-        management.attach(None, lambda kind, found: None)  # type: ignore[arg-type]
-        entries = [HostEntry(ListedEndpoint(name), ("127.0.0.1", 1)) for name in ("a", "b")]
-        management.forward_list(ListKind.FULL, HostList(1, True, tuple(entries)))
-        management.handle_call(RecordingConnection(management), OperatorCall(CallKind.BAN, "a"))
-        SharedBanFile(tmp_path).update(lambda _: [Drain("b", "another process", 0.0)])
-        management._poll_file()
-        async with asyncio.timeout(10):
-            while not statuses:
-                await asyncio.sleep(0.01)
-        management.close()
-        assert statuses == [200]
+        async with managed_process(tmp_path, ["a", "b"]) as process:
+            ban = asyncio.get_running_loop().create_task(process.ban("a"))
+            await asyncio.sleep(0)  # in force, and not written
+            SharedBanFile(tmp_path).exchange([Drain("b", "another process", 0.0)], 0.0)
+            process.management._shared.poll()
+            await ban
+            assert "a" not in process.readmitted
         assert {drain.server for drain in SharedBanFile(tmp_path).load()[0]} == {"a", "b"}
 
     asyncio.run(scene())
--- a/tests/management/test_rules.py
+++ b/tests/management/test_rules.py
@@ -14,12 +14,14 @@
     ListKind,
     Outcome,
 )
-from cloverrouter.management.bans import LIFTED_KEPT_MS, MAX_KNOWN_IDS, Bans
+from cloverrouter.management.bans import LIFTED_KEPT_MS, Bans
 from cloverrouter.management.calls import MAX_CALL_BYTES, CallError, CallKind, CallParser, OperatorCall
 from cloverrouter.management.figures import Figures
 from cloverrouter.proxy.config import HostEntry, HostList, UnixClock
 from cloverrouter.proxy.observer import AttemptResult, RequestResult
-from cloverrouter.roster.overlay import MOST_DRAINS, TooManyDrains, UnknownServer
+from cloverrouter.roster.limits import MAX_DRAINS, MAX_HOSTS
+from cloverrouter.roster.overlay import TooManyDrains, UnknownServer
+from cloverrouter.roster.store import decode, encode
 from tests.control.test_book import FakeCall
 
 NOW = 1_700_000_000_000.0
@@ -85,18 +87,18 @@
 
 def test_known_ids_and_bans_are_bounded() -> None:
     bans = Bans(CLOCK)
-    for i in range(MAX_KNOWN_IDS + 50):
+    for i in range(MAX_HOSTS + 50):
         bans.listed(ListKind.FULL, listing(entry(f"h{i}")))
     with pytest.raises(UnknownServer):
         bans.ban("h0", NOW)
-    for i in range(MOST_DRAINS):
-        bans.ban(f"h{MAX_KNOWN_IDS - i}", NOW)
+    for i in range(MAX_DRAINS):
+        bans.ban(f"h{i + 50}", NOW)
+    bans.listed(ListKind.FULL, listing(entry("one more")))
     with pytest.raises(TooManyDrains):
-        bans.ban("h60", NOW)
-    bans.lift(f"h{MAX_KNOWN_IDS}", NOW)
-    assert (
-        len(bans.records(NOW)) == MOST_DRAINS and len(bans.records(NOW + LIFTED_KEPT_MS)) == MOST_DRAINS - 1
-    )
+        bans.ban("one more", NOW)
+    bans.lift("h60", NOW)
+    assert len(bans.records(NOW)) == MAX_DRAINS and len(bans.records(NOW + LIFTED_KEPT_MS)) == MAX_DRAINS - 1
+    assert decode(encode(bans.records(NOW))) == bans.records(NOW)  # what may be in force can be stored
 
 
 def test_another_process_loads_bans_and_lifted_bans() -> None:
@@ -104,12 +106,12 @@
     one.ban("a", NOW)
     one.ban("b", NOW)
     one.lift("b", NOW + 1)
-    changed = states_of(other.load_shared(one.records(NOW + 2), NOW + 2))
+    changed = states_of(other.merge_shared(one.records(NOW + 2)))
     assert changed == {"a": (EndpointState.DRAINING, None)}  # b was never banned in that process
     assert states_of(other.listed(ListKind.FULL, listing(entry("b"))))["b"][1] == CLOCK.monotonic_ms(NOW + 1)
     one.lift("a", NOW + 3)
-    assert states_of(other.load_shared(one.records(NOW + 3), NOW + 3)) == {}  # a is no longer listed there
-    assert other.load_shared(one.records(NOW + 4), NOW + 4) is None
+    assert states_of(other.merge_shared(one.records(NOW + 3))) == {}  # a is no longer listed there
+    assert other.merge_shared(one.records(NOW + 4)) is None
 
 
 # Calls
