Bans and drains: each host of the largest fleet can be out

What callers saw: of 1,010 hosts the last 5 calls of 1,005 were refused with 503 ("too many hosts are out"), and these hosts went on being used.

Change: the bound is `MAX_HOSTS` (10,000), as that of known ids was; the records, bytes and notes of a file follow from it in `roster/limits.py`. The refusal names the bound and what to do. Console drains have the same bound.

Tests: `test_each_host_of_the_largest_fleet_can_be_out` (3,200 hosts out by 60 callers, the next process has them all) got 503 before.

--- a/cloverrouter/management/shell.py
+++ b/cloverrouter/management/shell.py
@@ -21,7 +21,7 @@
 from cloverrouter.management.sharing import SharedBans
 from cloverrouter.proxy.config import Address, HostList, UnixClock
 from cloverrouter.proxy.node import Node
-from cloverrouter.roster.limits import MAX_DRAINS
+from cloverrouter.roster.limits import MAX_HOSTS
 from cloverrouter.roster.overlay import TooManyDrains, UnknownServer
 
 MAX_CALLERS = 64
@@ -33,7 +33,7 @@
 # Discovery answers at once if it has changes to the list that was stored before the start of this process, so
 # after this time without an answer that list counts as current.
 DISCOVERY_WAIT_S = 0.5
-TOO_MANY_OUT = f"{MAX_DRAINS} hosts are out, and no more can be: give back those that are gone\n".encode()
+TOO_MANY_OUT = f"{MAX_HOSTS} hosts are out, and no more can be: give back those that are gone\n".encode()
 log = logging.getLogger(__name__)
 
 
--- a/cloverrouter/roster/limits.py
+++ b/cloverrouter/roster/limits.py
@@ -9,7 +9,6 @@
 from cloverrouter.seams import MAX_TEXT_CHARS
 
 MAX_HOSTS = 10_000  # above the largest fleet, which leaves room for hosts that were renamed since
-MAX_DRAINS = 1000  # in force at once
 MAX_RECORDS = MAX_HOSTS  # of one file, in which a host has one record
 MAX_NOTE_CHARS = MAX_TEXT_CHARS
 MAX_RECORD_BYTES = 2048  # the longest note, each character escaped (6 bytes), and 848 bytes for the rest
--- a/cloverrouter/roster/overlay.py
+++ b/cloverrouter/roster/overlay.py
@@ -11,7 +11,7 @@
 
 from cloverrouter.interface import EndpointState, ListKind
 from cloverrouter.proxy.config import HostEntry, HostList
-from cloverrouter.roster.limits import MAX_DRAINS
+from cloverrouter.roster.limits import MAX_HOSTS
 from cloverrouter.values import Value, replace
 
 
@@ -47,7 +47,7 @@
 
 
 class TooManyDrains(Exception):
-    """The limit of `MAX_DRAINS` drains is reached."""
+    """The limit of `MAX_HOSTS` drains is reached."""
 
 
 class Overlay:
@@ -115,7 +115,7 @@
         )
 
     def _check_drain_limit(self) -> None:
-        if len(self.drains) >= MAX_DRAINS:
+        if len(self.drains) >= MAX_HOSTS:
             raise TooManyDrains
 
     def restore(self, server: str) -> Change:
--- a/tests/management/test_kept_bans.py
+++ b/tests/management/test_kept_bans.py
@@ -22,6 +22,7 @@
 from tests.management.processes import CALL_TIMEOUT_S, ManagedProcess, managed_process
 from tests.management.test_loopback import call, managed, read_metrics, upgradable, wait_ready
 
+LARGEST_FLEET = 3200  # hosts: the largest fleet that the operators name
 CALLERS = 60  # operators' calls at once, in one process without sockets
 OPERATORS = 8  # who call the real program at once, below its limit on connections
 POLLS_S = 4 * POLL_INTERVAL_S
@@ -73,6 +74,21 @@
     asyncio.run(scene())
 
 
+def test_each_host_of_the_largest_fleet_can_be_out(tmp_path: Path) -> None:
+    """Guards against a limit on bans below the number of hosts: calls were refused from 1,000 on."""
+
+    async def scene() -> None:
+        hosts = names(LARGEST_FLEET)
+        async with managed_process(tmp_path, hosts) as process:
+            assert set(await call_for_each(process, hosts, CallKind.BAN)) == {200}
+            await asyncio.sleep(POLLS_S)
+            assert process.banned == set(hosts) and not process.readmitted
+        successor = ManagedProcess(tmp_path, hosts)
+        assert successor.banned == set(hosts)
+
+    asyncio.run(scene())
+
+
 def overwrite(file: Path) -> None:
     file.write_bytes(b"other bytes\n" * 40)
 
