An input error never ends the answers before it; commands sent at once each get one

Cause, of both: `ClientConnection._reject` took an error of the input (also that more than 16 commands or 128 KiB wait) as the end of all that the connection still had to write, and wrote the error at once, wherever the output was.

Evidence: not the limits alone.

Change: an error waits for the calls before it and is the last answer; after 2.3 s the open call fails, those in wait are refused. Every status line goes through `_write_head`, which refuses within a streamed answer; the connection is cut then. Input beyond the limits is parsed in pieces of 2 KiB, kept, and then left unread; what was held back counts as arrived when it may have arrived at the earliest.

--- a/cloverrouter/proxy/client_answers.py
+++ b/cloverrouter/proxy/client_answers.py
@@ -57,12 +57,12 @@
         self.on_ready: Callable[[], None] | None = None
 
     def write(self, data: bytes) -> bool:
-        return self._client.write_stream(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
+        return self._client.write_stream(self, b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
 
     def finish(self) -> None:
         if self._chunked:
-            self._client.write_stream(b"0\r\n\r\n")
-        self._client.finish_stream(self._close)
+            self._client.write_stream(self, b"0\r\n\r\n")
+        self._client.finish_stream(self, self._close)
 
     def abort(self) -> None:
-        self._client.abort_stream(self._self_delimited)
+        self._client.abort_stream(self, self._self_delimited)
--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -37,10 +37,14 @@
 
 READ_BUFFER_BYTES = 64 * 1024
 STREAM_BUFFER_BYTES = 32 * 1024  # unsent bytes of a streamed answer beyond which its host has to wait
-# Limits on pipelined calls behind an open one of the same connection, and on their bytes; regular clients
-# stay below.
+# Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
+# further input is parsed or read until some have been answered.
 MAX_QUEUED_CALLS = 16
 MAX_QUEUED_BYTES = 2 * STREAMING_THRESHOLD_BYTES
+# Input that follows within this time was held back by flow control: it may be as old as the input before it.
+FLOW_CONTROL_GAP_S = 0.05
+# Input is parsed in pieces, so that few calls are added beyond these limits. A body is one piece.
+PARSED_PIECE_BYTES = 2048
 # From connecting, or from the first byte of a later request, to the last byte. The requirement is 3 s.
 REQUEST_TIMEOUT_S = 2.3
 # The lowest average rate of a request body, and the longest time without any of its bytes.
@@ -58,6 +62,10 @@
 STREAM_STALL_S = 10.0  # limit without progress for a streamed answer, once the client has read part of it
 
 
+class AnswerUnfinishedError(Exception):
+    """Part of an answer has been written, and no other one may begin before its end."""
+
+
 class Stage(Enum):
     """State of a connection for eviction: ENDED is evicted first, then SILENT, then IDLE, and BUSY never."""
 
@@ -82,6 +90,11 @@
         self._open_call: ClientCall | None = None
         self._queued: deque[ClientCall] = deque()
         self._error_status = 0  # error status for the bytes of the current read
+        self._deferred_error = 0  # error status of a request behind calls that are answered first
+        self._deferred_since_s = 0.0
+        self._unparsed = b""  # input that was read, and has to wait until fewer calls are queued
+        self._read_s = 0.0  # when the last input was read
+        self._delayed_read_since_s: float | None = None  # since when it may have waited unread
         self._ended = False  # an error or the last answer has been sent: further input is discarded
         self._has_requested = False  # a complete request has been received
         self._unread_from_s: float | None = None  # when a sweep first found unread input
@@ -94,7 +107,10 @@
         # Streamed calls whose body was completed by the current read, with the bytes of this read.
         self._finished_uploads: list[tuple[ClientCall, bytes]] = []
         self._stream: StreamedAnswer | None = None  # the answer that is being streamed
-        self._reading_paused = False  # backpressure: the received part of a body has not been forwarded yet
+        self._upload_paused = False  # backpressure: the received part of a body has not been forwarded yet
+        self._reading_paused = False  # for that reason, or since enough calls wait
+        self._unread_since_s = 0.0  # since when input may be unread because calls wait; 0: it is not
+        self._resumed_s = 0.0  # when reading was last resumed
         self._reserved_bytes = 0  # of the shared buffer budget, for the bodies of the open calls
         # Bytes of streamed answers that were written, and that had left the write buffer at the last check.
         self._stream_written = self._stream_flushed = 0
@@ -119,63 +135,167 @@
         return self._frontend.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._ended or self._transport is None:
+        if self._ended or self._deferred_error or self._transport is None:
             return
         self._unread_from_s = None
         if not self._request_begun:
             self._request_begun = True
             if self._has_requested:  # the time limit of a first request starts at connecting
                 self.state_since_s = self._frontend.active_time_s()
-        if self._parser is None:
-            self._parser = httptools.HttpRequestParser(self)
-        self._request_completed = False
-        try:
-            self._parser.feed_data(self._frontend.buffer[:nbytes])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._error_status = self._error_status or 400
-        self._record_arrival(nbytes)
-        if self._in_head and self._request_begun and not self._request_completed:
-            self._head_bytes += nbytes  # the parser reports nothing of a header line that never ends
-            if self._head_bytes > MAX_HEAD_BYTES:
-                self._error_status = self._error_status or 431
+        self._process(self._frontend.buffer[:nbytes])
+        self._frontend.note_stage(self)
+
+    def _process(self, data: memoryview) -> None:
+        """Parse input that was just read and pass on the calls in it, as far as calls may be queued."""
+        rest = self._parse(data)
+        self._record_read(len(data))
+        self._record_arrival(len(rest) == 0)
+        self._pass_on(rest)
+
+    def _process_unparsed(self) -> None:
+        """Parse more of the input that had to wait."""
+        data, self._unparsed = self._unparsed, b""
+        rest = self._parse(memoryview(data))
+        self._record_arrival(False)
+        self._pass_on(rest)
+
+    def _pass_on(self, rest: memoryview) -> None:
+        """Forward parsed input to the handler; keep `rest`, which is not parsed yet."""
+        # The buffer of `rest` is that of all connections.
+        self._unparsed = bytes(rest) if not self._error_status else b""
+        self._finish_uploads()
         if not self._error_status:
             self._forward_body()
         if self._error_status:
             self._reject(self._error_status)
         else:
             self._next()
+            self._continue_input()
+
+    def _parse(self, data: memoryview) -> memoryview:
+        """Parse `data` until enough calls are queued or a request is invalid; return the rest."""
+        if self._parser is None:
+            self._parser = httptools.HttpRequestParser(self)
+        rest = data
+        while rest and not self._error_status and not self._holds_input:
+            piece = rest[: max(PARSED_PIECE_BYTES, self._missing_body_bytes())]
+            rest = rest[len(piece) :]
+            self._request_completed = False
+            try:
+                self._parser.feed_data(piece)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                if not self._error_status:
+                    self._error_status = 400
+                    self._withdraw_last_completed()
+            if self._in_head and self._request_begun and not self._request_completed:
+                self._head_bytes += len(piece)  # the parser reports nothing of a header line that never ends
+                if self._head_bytes > MAX_HEAD_BYTES:
+                    self._error_status = self._error_status or 431
+        return rest
+
+    def _missing_body_bytes(self) -> int:
+        length = self._headers.get(b"content-length") if not self._in_head else None
+        return int(length) - self._body_size if length is not None else 0
+
+    def _withdraw_last_completed(self) -> None:
+        """Drop the last call of the current read, if it waits: what follows it may show that its length was
+        wrong."""
+        if self._just_completed and self._queued and self._queued[-1] is self._just_completed[-1]:
+            call = self._queued.pop()
+            self._gate.queued_ids.discard(call.request_id)
+
+    @property
+    def _holds_input(self) -> bool:
+        """Whether further input has to wait: for a body to be forwarded, or for calls to be answered."""
+        if self._upload_paused or len(self._queued) >= MAX_QUEUED_CALLS:
+            return True
+        if not self._queued:
+            return False
+        # One more body fits, which is at most as long as one that is not streamed.
+        waiting_bytes = sum(len(call.body) for call in self._queued)
+        return waiting_bytes > MAX_QUEUED_BYTES - STREAMING_THRESHOLD_BYTES
+
+    def _continue_input(self) -> None:
+        """Read on, or parse on in a later step of the loop, if calls may be queued."""
+        if self._ended or self._transport is None:
+            return
+        holds = self._holds_input or self._deferred_error != 0
+        if self._unparsed and not holds:
+            self._frontend.loop.call_soon(self._proceed)
+        self._set_reading(not holds and not self._unparsed)
+
+    def _proceed(self) -> None:
+        """Go on after an answer: with the next call, the input that had to wait, or a deferred error."""
+        if self._ended or self._transport is None:
+            return
+        self._next()
+        if self._deferred_error and not self._has_calls:
+            self._reject_now(self._deferred_error)
+        elif self._unparsed and not self._holds_input:
+            self._process_unparsed()
+        else:
+            self._continue_input()
         self._frontend.note_stage(self)
 
-    def _record_arrival(self, nbytes: int) -> None:
-        """Set the arrival time of the calls completed by the current read, if they may have waited unread.
+    def _set_reading(self, wanted: bool) -> None:
+        assert self._transport is not None
+        if self._direct or wanted is not self._reading_paused:
+            return
+        self._reading_paused = not wanted
+        if wanted:
+            self._resumed_s = self._frontend.loop.time()
+            self._transport.resume_reading()
+        else:
+            if self._upload_paused:
+                self._unread_since_s = 0.0  # an upload's time does not count while its host is slow
+            elif not (self._unread_since_s and has_unread_data(self._sock)):
+                self._unread_since_s = self._frontend.loop.time()
+            self._transport.pause_reading()
 
-        A process that resumes after a pause finds the requests that arrived in the meantime, and would
-        execute them after their clients gave up.
-        """
-        completed, self._just_completed = self._just_completed, []
+    def _record_read(self, nbytes: int) -> None:
+        """Note when the current input was read, and since when it may have waited unread, if it may."""
         now_s = self._frontend.loop.time()
         pause_detector = self._frontend.pause_detector
+        if self._unread_since_s:
+            if now_s - max(self._read_s, self._resumed_s) > FLOW_CONTROL_GAP_S:
+                self._unread_since_s = 0.0
+            self.delayed_since_s = self.delayed_since_s or self._unread_since_s
         since_s = self.delayed_since_s or pause_detector.waiting_since_s(now_s)
         if self._nothing_read:
             self._nothing_read = False
             since_s = since_s or pause_detector.first_data_waiting_since_s(now_s, self._opened_s)
         # If the read filled the buffer, the remaining input may have waited as long.
         self.delayed_since_s = since_s or 0.0 if nbytes == READ_BUFFER_BYTES else 0.0
-        if since_s is None:
-            return
+        self._read_s, self._delayed_read_since_s = now_s, since_s
+
+    def _record_arrival(self, is_last_input: bool) -> None:
+        """Set the arrival time of the calls that were just parsed, if they may have waited.
+
+        A process that resumes after a pause finds the requests that arrived in the meantime, and would
+        execute them after their clients gave up. `is_last_input`: all that was read has been parsed.
+        """
+        completed, self._just_completed = self._just_completed, []
+        since_s, pause_detector = self._delayed_read_since_s, self._frontend.pause_detector
         for call in completed:
-            is_last_data = call is completed[-1] and not self._request_begun
-            call.set_arrival(pause_detector.arrival_bounds_s(now_s, since_s, self._sock, is_last_data))
+            if since_s is not None:
+                is_last_data = is_last_input and call is completed[-1] and not self._request_begun
+                # The kernel's age says nothing of data that the client's kernel held back.
+                sock = self._sock if is_last_input and not self._unread_since_s else None
+                call.set_arrival(pause_detector.arrival_bounds_s(self._read_s, since_s, sock, is_last_data))
+            else:
+                call.arrived_ms = min(call.arrived_ms, self._read_s * 1000)
 
-    def _forward_body(self) -> None:
-        """Forward or buffer received body bytes. Not done in the parser's callbacks, for the reason in
-        `_next`."""
+    def _finish_uploads(self) -> None:
+        """Forward the last bytes of streamed bodies. Not done in the parser's callbacks, as in `_next`."""
         finished, self._finished_uploads = self._finished_uploads, []
         for done, rest in finished:
             assert done.upload is not None
             if rest:
                 done.upload.feed(rest)
             done.upload.end()
+
+    def _forward_body(self) -> None:
+        """Forward or buffer received body bytes. Not done in the parser's callbacks, as in `_next`."""
         if self._in_head or not self._body:
             return
         self.body_progress_s = self._frontend.active_time_s()
@@ -199,25 +319,25 @@
         """Admit a call with the first part of its body; the rest is streamed as it is received."""
         assert self._parser is not None
         call = self._call()
-        call.upload = Upload(length, self._pause_reading, self._resume_reading)
+        call.upload = Upload(length, self._pause_upload, self._resume_upload)
         self._body.clear()
         self._admit(call)
         if not self._error_status:
             self._uploading = call
             self._just_completed.clear()  # its last byte has not arrived yet
-            self._pause_reading()  # until an attempt has started that the rest can be sent to
+            self._pause_upload()  # until an attempt has started that the rest can be sent to
 
-    def _pause_reading(self) -> None:
-        if not self._reading_paused and self._transport is not None and not self._ended:
-            self._reading_paused, self.body_progress_s = True, self._frontend.active_time_s()
-            self._transport.pause_reading()
+    def _pause_upload(self) -> None:
+        if not self._upload_paused and self._transport is not None and not self._ended:
+            self._upload_paused, self.body_progress_s = True, self._frontend.active_time_s()
+            self._set_reading(False)
 
-    def _resume_reading(self) -> None:
-        if self._reading_paused and self._transport is not None:
+    def _resume_upload(self) -> None:
+        if self._upload_paused and self._transport is not None:
             now_s = self._frontend.active_time_s()
             self.state_since_s += now_s - self.body_progress_s  # the client could not send in that time
-            self._reading_paused, self.body_progress_s = False, now_s
-            self._transport.resume_reading()
+            self._upload_paused, self.body_progress_s = False, now_s
+            self._continue_input()
 
     def eof_received(self) -> None:
         """Treat FIN, also of a half-closed connection, as a disconnect; asyncio then closes the transport.
@@ -250,7 +370,7 @@
         self._frontend.add(self)
         if isinstance(before, DirectTransport):
             self._continue_from(before)
-        self._next()
+        self._proceed()
 
     def _continue_from(self, before: DirectTransport) -> None:
         """Finish what `before` could not do without the event loop: unsent bytes and a pending half-close."""
@@ -273,7 +393,7 @@
         self._writing_paused = False
         if self._stream is not None and self._stream.on_ready is not None:
             self._stream.on_ready()
-        self._next()
+        self._proceed()
         self._frontend.note_stage(self)
 
     # Callbacks of httptools.HttpRequestParser
@@ -310,7 +430,7 @@
             and not self.busy
         ):
             assert self._transport is not None
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._write_head(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         self._body_size += len(body)
@@ -353,11 +473,8 @@
             return
         if call.target != HEALTH:
             self._error_status = self._gate.check(call, headers)
-            waiting_bytes = sum(len(waiting.body) for waiting in self._queued) + len(call.body)
-            if len(self._queued) >= MAX_QUEUED_CALLS or (self.busy and waiting_bytes > MAX_QUEUED_BYTES):
-                self._error_status = self._error_status or 429
-        elif call.method != b"GET" or len(self._queued) >= MAX_QUEUED_CALLS:
-            self._error_status = 405 if call.method != b"GET" else 429
+        elif call.method != b"GET":
+            self._error_status = 405
         if not self._error_status:
             self._queued.append(call)
             self._just_completed.append(call)
@@ -391,7 +508,7 @@
 
     def _refuse(self, call: ClientCall, reason: RefusalReason) -> None:
         """Refuse a request before it reaches the balancer."""
-        if self._direct and reason is RefusalReason.EXPIRED:
+        if self._direct and reason is RefusalReason.EXPIRED and not self._owes_answers:
             call.keep_alive = False  # its client has given up, and the event loop need not learn of it
         self._frontend.load.refused(reason)
         self._frontend.errors.recorder.record("refused", call.request_id, reason.value)
@@ -407,7 +524,7 @@
                 self._answer_early(status, headers)
                 return
             close = self._closes_after(call)
-            self._transport.write(encode_answer(status, body, headers + self._gate.alt_svc, close))
+            self._write_head(encode_answer(status, body, headers + self._gate.alt_svc, close))
             self._answer_sent(close)
         except Exception as error:
             self.fail("client_answer", error)
@@ -423,7 +540,7 @@
         # Queued calls have been accepted and are answered in a drain, too: the last answer closes the
         # connection.
         return not call.keep_alive or (
-            not self._queued
+            not self._owes_answers
             and (
                 self.refuses
                 or self._gate.stopping
@@ -446,8 +563,8 @@
             self._transport.close()
         elif close:
             self._end_sending()
-        elif self._queued:
-            self._frontend.loop.call_soon(self._next)
+        elif self._owes_answers or self._reading_paused:
+            self._frontend.loop.call_soon(self._proceed)
         self._frontend.note_stage(self)
 
     def _answer_early(self, status: int, headers: bytes) -> None:
@@ -457,6 +574,17 @@
         self._open_call = self._uploading = None
         self._send_last_answer(encode_answer(status, b"", headers, True))
 
+    @property
+    def _has_calls(self) -> bool:
+        return self._open_call is not None or bool(self._queued)
+
+    @property
+    def _owes_answers(self) -> bool:
+        """Whether requests of this connection are to be answered after the open call."""
+        if self._queued or self._unparsed or self._deferred_error:
+            return True
+        return self._reading_paused and has_unread_data(self._sock)
+
     def begin_stream(self, call: ClientCall, answer: Answer) -> AnswerSink | None:
         """Start streaming an answer; None if the client has disconnected or writing fails."""
         if self._open_call is not call or self._transport is None:
@@ -470,15 +598,15 @@
     def _begin_stream(self, transport: asyncio.Transport, call: ClientCall, answer: Answer) -> AnswerSink:
         chunked = answer.length is None and not call.lacks_chunking
         close = self._closes_after(call) or (answer.length is None and call.lacks_chunking)
-        transport.write(encode_stream_head(answer, self._gate.alt_svc, chunked, close))
+        self._write_head(encode_stream_head(answer, self._gate.alt_svc, chunked, close))
         transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
         self._stream = StreamedAnswer(
             self, chunked, close, self_delimited=chunked or answer.length is not None
         )
         return self._stream
 
-    def write_stream(self, data: bytes) -> bool:
-        if self._transport is None or self._ended:
+    def write_stream(self, stream: StreamedAnswer, data: bytes) -> bool:
+        if self._transport is None or self._ended or self._stream is not stream:
             return False
         try:
             self._transport.write(data)
@@ -488,14 +616,18 @@
         self._stream_written += len(data)
         return not self._writing_paused
 
-    def finish_stream(self, close: bool) -> None:
+    def finish_stream(self, stream: StreamedAnswer, close: bool) -> None:
+        if self._stream is not stream:
+            return
         self._stream = None
         if self._transport is not None and self._open_call is not None:
             self._answer_sent(close)
 
-    def abort_stream(self, self_delimited: bool) -> None:
+    def abort_stream(self, stream: StreamedAnswer, self_delimited: bool) -> None:
         """End a truncated streamed answer so that its client can detect it: without the end mark of its
         framing, and with a reset if an orderly end of the connection would mark the end of the answer."""
+        if self._stream is not stream:
+            return
         self._stream, self._open_call = None, None
         if self._transport is None:
             return
@@ -511,31 +643,69 @@
         self._reserved_bytes = self._frontend.buffer_budget.reserve(0, self._reserved_bytes)
 
     def _reject(self, status: int) -> None:
-        """Answer with an error and close the connection: after a parse error its framing can't be trusted.
+        """Answer an invalid request with an error, after the calls before it, and close the connection.
 
-        Open and queued calls are withdrawn: the client takes the error as the answer to the first of them, as
-        a failure.
+        Nothing that follows it is parsed: after a parse error its framing can't be trusted.
+        """
+        if self._transport is None or self._ended:
+            return
+        invalid, self._uploading = self._uploading, None  # a call that was admitted with a part of its body
+        if invalid is not None and self._queued and self._queued[-1] is invalid:
+            self._queued.pop()
+            self._gate.queued_ids.discard(invalid.request_id)
+        if self._has_calls and (invalid is None or self._open_call is not invalid):
+            self._deferred_error, self._deferred_since_s = status, self._frontend.active_time_s()
+            self._upload_paused = False
+            self._next()
+            self._set_reading(False)
+        else:
+            self._reject_now(status)
+
+    def _reject_now(self, status: int) -> None:
+        """Write the error and close the connection.
+
+        A call that is still open is answered with the error, as a failure, since it may have run; queued ones
+        are refused. Where part of an answer has been written, nothing but its end may follow: the connection
+        is cut instead.
         """
         if self._transport is None or self._ended:
             return
-        if status == 429 and self._open_call is not None:
-            # It answers the open call, which may have run; 429 would allow the client to retry it.
-            status = 400
-        self._ended = True
         self._record("turned_away", status)
         if self._frontend.observer is not None:
             self._frontend.observer.invalid_request_rejected(status)
+        if self._stream is not None:
+            self._cut_stream()
+            return
+        refused = len(self._queued)
+        is_deferred = self._deferred_error != 0 and self._open_call is not None
+        self._ended = True
         self._withdraw_calls()
         self._reset()
-        self._send_last_answer(encode_answer(status, b"", b"", True))
+        answers = [encode_answer(status, b"", b"", False)] if is_deferred else []
+        answers += [encode_answer(503, b"", b"", False)] * refused
+        self._send_last_answer(b"".join(answers) + encode_answer(status, b"", b"", True))
+
+    def _cut_stream(self) -> None:
+        """End the connection within a streamed answer, whose client then detects that it is truncated."""
+        assert self._stream is not None
+        stream, call = self._stream, self._open_call
+        stream.abort()
+        if call is not None:
+            self._gate.handler.disconnected(call)
 
     def _send_last_answer(self, answer: bytes) -> None:
         """Write the last answer; further input is discarded for a while."""
-        assert self._transport is not None
-        self._transport.write(answer)
+        self._write_head(answer)
         self._end_sending()
         self._frontend.note_stage(self)
 
+    def _write_head(self, data: bytes) -> None:
+        """Write what begins with a status line. Raises `AnswerUnfinishedError` within a streamed answer."""
+        assert self._transport is not None
+        if self._stream is not None:
+            raise AnswerUnfinishedError("an answer is being streamed; another one would end up in its body")
+        self._transport.write(data)
+
     def _end_sending(self) -> None:
         """Half-close after the last answer, and discard further input for `LINGER_TIMEOUT_S`.
 
@@ -558,6 +728,7 @@
         for queued in self._queued:
             self._gate.queued_ids.discard(queued.request_id)
         self._queued.clear()
+        self._unparsed, self._deferred_error, self._upload_paused = b"", 0, False
         self._release_buffer()
         self._uploading, self._stream = None, None
         self._finished_uploads.clear()
@@ -569,7 +740,7 @@
 
     @property
     def busy(self) -> bool:
-        return self._open_call is not None or bool(self._queued)
+        return self._has_calls or bool(self._unparsed) or self._deferred_error != 0
 
     @property
     def is_receiving(self) -> bool:
@@ -644,6 +815,10 @@
         if self._reading_paused and peer_has_closed(self._sock):
             self.end("left")  # not reported while reading is paused; the request would still be forwarded
             return
+        deferred_s = now_s - self._deferred_since_s if self._deferred_error else 0.0
+        if deferred_s > REQUEST_TIMEOUT_S and self._stream is None:
+            self._reject_now(self._deferred_error)
+            return
         waited_s = now_s - self.state_since_s
         unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
         if self._stream_written - unsent > self._stream_flushed:
@@ -657,7 +832,7 @@
                 self.end("lingered")
         elif self._request_begun and not self._in_head and (not self.busy or self._uploading is not None):
             late = waited_s > REQUEST_TIMEOUT_S + self._body_size / MIN_BODY_BYTES_PER_S
-            if not self._reading_paused and (late or now_s - self.body_progress_s > BODY_STALL_TIMEOUT_S):
+            if not self._upload_paused and (late or now_s - self.body_progress_s > BODY_STALL_TIMEOUT_S):
                 self._reject(408)
         elif self.busy:
             pass
