A connection is read again after a body whose host was slow to take its last piece

What callers saw: on a kept connection the request after a long body got no answer, for as long as the client waited.

Cause: where the last piece of a streamed body meets backpressure, `Upload.feed` pauses reading, and `Upload.resume` does nothing once the body has ended: nobody resumed it.

Change: with the end of the body the connection no longer waits for its host; nothing that follows belongs to it.

Test: test_request_behind_a_body_whose_host_is_slow_to_the_end_is_read, which timed out without the change.

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -293,6 +293,7 @@
             if rest:
                 done.upload.feed(rest)
             done.upload.end()
+            self._upload_paused = False  # its host may still be slow, but no more input belongs to it
 
     def _forward_body(self) -> None:
         """Forward or buffer received body bytes. Not done in the parser's callbacks, as in `_next`."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -206,6 +206,37 @@
     asyncio.run(scene())
 
 
+class SlowBody(DiscardedBody):
+    """A host that is slow to take the last bytes of a body."""
+
+    def __init__(self, last_bytes_from: int) -> None:
+        self._missing = last_bytes_from
+
+    def write_body(self, data: bytes) -> bool:
+        self._missing -= len(data)
+        return self._missing > 0
+
+
+def test_request_behind_a_body_whose_host_is_slow_to_the_end_is_read() -> None:
+    """Guards against a connection that is never read again after a body whose last piece had to wait."""
+
+    async def scene(loop: Loop) -> None:
+        _, handler, address = await start_frontend(loop, 8)
+        with socket.create_connection(address, 10.0) as client:
+            head = f"POST /unsafe HTTP/1.1\r\nX-Request-ID: 1\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+            sending = loop.run_in_executor(None, client.sendall, head.encode() + b"y" * BODY_BYTES)
+            await until(lambda: handler.calls)
+            call = handler.calls.pop()
+            call.upload.attach(SlowBody(BODY_BYTES - len(call.body) - 1))
+            await sending
+            await until(lambda: call.upload.ended)
+            client.sendall(request("r1"))
+            call.reply(200, b"first")
+            await until(lambda: handler.calls)
+
+    run_scene(scene)
+
+
 # More commands than are queued
 
 
