--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -13,23 +13,20 @@
 from functools import partial
 from typing import TYPE_CHECKING, cast
 
-import httptools
-
 from cloverrouter.proxy.client_answers import StreamedAnswer, encode_answer, encode_stream_head
 from cloverrouter.proxy.client_call import ClientCall
 from cloverrouter.proxy.direct import DirectTransport
 from cloverrouter.proxy.load import RefusalReason
 from cloverrouter.proxy.messages import (
-    MAX_BODY_BYTES,
-    MAX_HEAD_BYTES,
     STREAMING_THRESHOLD_BYTES,
     Answer,
     AnswerSink,
     Upload,
 )
 from cloverrouter.proxy.overload import MAX_DELAY_S
+from cloverrouter.proxy.request_parser import RequestParser
 from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset
-from cloverrouter.proxy.validity import HEALTH, Head
+from cloverrouter.proxy.validity import HEALTH
 from cloverrouter.proxy.wake import data_age_s
 
 if TYPE_CHECKING:
@@ -86,10 +83,9 @@
         self._sock = sock
         self._transport: asyncio.Transport | None = None
         self._direct = False  # not registered with the event loop yet
-        self._parser: httptools.HttpRequestParser | None = None  # created late: many connections send nothing
+        self._parser = RequestParser()
         self._open_call: ClientCall | None = None
         self._queued: deque[ClientCall] = deque()
-        self._error_status = 0  # error status for the bytes of the current read
         self._deferred_error = 0  # error status of a request behind calls that are answered first
         self._deferred_since_s = 0.0
         self._unparsed = b""  # input that was read, and has to wait until fewer calls are queued
@@ -99,8 +95,6 @@
         self._has_requested = False  # a complete request has been received
         self._unread_from_s: float | None = None  # when a sweep first found unread input
         self._writing_paused = False  # the write buffer is full: the client does not read its answers
-        self._request_begun = False  # part of a request has been received
-        self._request_completed = False  # a request was completed by the current read
         # Start of the current state. Timeouts of clients exclude the time in which this process was paused.
         self.state_since_s = frontend.active_time_s()
         self._uploading: ClientCall | None = None  # the call whose body is being streamed
@@ -118,15 +112,6 @@
         self.delayed_since_s = frontend.listener.delayed_since_s
         self._opened_s, self._nothing_read = frontend.loop.time(), True
         self._just_completed: list[ClientCall] = []  # calls whose last byte came in the current read
-        self._reset()
-
-    def _reset(self) -> None:
-        self._headers = Head()
-        self._target = b""
-        self._body = bytearray()
-        self._head_bytes = 0
-        self._in_head = True
-        self._body_size = 0  # bytes of the body so far, including those already forwarded
         self.body_progress_s = self.state_since_s  # when bytes of the body were last received
 
     # asyncio.BufferedProtocol: all connections share one buffer, since each read is processed immediately
@@ -138,8 +123,8 @@
         if self._ended or self._deferred_error or self._transport is None:
             return
         self._unread_from_s = None
-        if not self._request_begun:
-            self._request_begun = True
+        if not self._parser.begun:
+            self._parser.begun = True
             if self._has_requested:  # the time limit of a first request starts at connecting
                 self.state_since_s = self._frontend.active_time_s()
         self._process(self._frontend.buffer[:nbytes])
@@ -162,41 +147,26 @@
     def _pass_on(self, rest: memoryview) -> None:
         """Forward parsed input to the handler; keep `rest`, which is not parsed yet."""
         # The buffer of `rest` is that of all connections.
-        self._unparsed = bytes(rest) if not self._error_status else b""
+        self._unparsed = bytes(rest) if not self._parser.error_status else b""
         self._finish_uploads()
-        if not self._error_status:
+        if not self._parser.error_status:
             self._forward_body()
-        if self._error_status:
-            self._reject(self._error_status)
+        if self._parser.error_status:
+            self._reject(self._parser.error_status)
         else:
             self._next()
             self._continue_input()
 
     def _parse(self, data: memoryview) -> memoryview:
         """Parse `data` until enough calls are queued or a request is invalid; return the rest."""
-        if self._parser is None:
-            self._parser = httptools.HttpRequestParser(self)
-        rest = data
-        while rest and not self._error_status and not self._holds_input:
-            piece = rest[: max(PARSED_PIECE_BYTES, self._missing_body_bytes())]
+        rest, parser = data, self._parser
+        while rest and not parser.error_status and not self._holds_input:
+            piece = rest[: max(PARSED_PIECE_BYTES, parser.missing_body_bytes)]
             rest = rest[len(piece) :]
-            self._request_completed = False
-            try:
-                self._parser.feed_data(piece)
-            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-                if not self._error_status:
-                    self._error_status = 400
-                    self._withdraw_last_completed()
-            if self._in_head and self._request_begun and not self._request_completed:
-                self._head_bytes += len(piece)  # the parser reports nothing of a header line that never ends
-                if self._head_bytes > MAX_HEAD_BYTES:
-                    self._error_status = self._error_status or 431
+            if not parser.feed(piece, self):
+                self._withdraw_last_completed()
         return rest
 
-    def _missing_body_bytes(self) -> int:
-        length = self._headers.get(b"content-length") if not self._in_head else None
-        return int(length) - self._body_size if length is not None else 0
-
     def _withdraw_last_completed(self) -> None:
         """Drop the last call of the current read, if it waits: what follows it may show that its length was
         wrong."""
@@ -278,7 +248,7 @@
         since_s, pause_detector = self._delayed_read_since_s, self._frontend.pause_detector
         for call in completed:
             if since_s is not None:
-                is_last_data = is_last_input and call is completed[-1] and not self._request_begun
+                is_last_data = is_last_input and call is completed[-1] and not self._parser.begun
                 # The kernel's age says nothing of data that the client's kernel held back.
                 sock = self._sock if is_last_input and not self._unread_since_s else None
                 call.set_arrival(pause_detector.arrival_bounds_s(self._read_s, since_s, sock, is_last_data))
@@ -297,33 +267,32 @@
 
     def _forward_body(self) -> None:
         """Forward or buffer received body bytes. Not done in the parser's callbacks, as in `_next`."""
-        if self._in_head or not self._body:
+        if self._parser.in_head or not self._parser.body:
             return
         self.body_progress_s = self._frontend.active_time_s()
         call, budget = self._uploading, self._frontend.buffer_budget
         if call is not None and call.upload is not None:
-            piece = bytes(self._body)
-            self._body.clear()
+            piece = bytes(self._parser.body)
+            self._parser.body.clear()
             call.upload.feed(piece)
             return
-        length = self._headers.get(b"content-length")
+        length = self._parser.headers.get(b"content-length")
         declared = int(length) if length is not None else None
-        if budget.may_buffer(declared, len(self._body), self._reserved_bytes):
-            if len(self._body) > STREAMING_THRESHOLD_BYTES:
+        if budget.may_buffer(declared, len(self._parser.body), self._reserved_bytes):
+            if len(self._parser.body) > STREAMING_THRESHOLD_BYTES:
                 self._reserved_bytes = budget.reserve(
-                    max(len(self._body), declared or 0), self._reserved_bytes
+                    max(len(self._parser.body), declared or 0), self._reserved_bytes
                 )
-        elif len(self._body) >= STREAMING_THRESHOLD_BYTES:
+        elif len(self._parser.body) >= STREAMING_THRESHOLD_BYTES:
             self._begin_upload(declared)
 
     def _begin_upload(self, length: int | None) -> None:
         """Admit a call with the first part of its body; the rest is streamed as it is received."""
-        assert self._parser is not None
         call = self._call()
         call.upload = Upload(length, self._pause_upload, self._resume_upload)
-        self._body.clear()
+        self._parser.body.clear()
         self._admit(call)
-        if not self._error_status:
+        if not self._parser.error_status:
             self._uploading = call
             self._just_completed.clear()  # its last byte has not arrived yet
             self._pause_upload()  # until an attempt has started that the rest can be sent to
@@ -383,7 +352,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._parser = None  # breaks a reference cycle that only the garbage collector would free
+        self._parser.close()
         self._frontend.remove(self)
         self._withdraw_calls()
 
@@ -397,86 +366,42 @@
         self._proceed()
         self._frontend.note_stage(self)
 
-    # Callbacks of httptools.HttpRequestParser
-
-    def on_message_begin(self) -> None:
-        self._reset()
-        self._request_begun = True
-
-    def on_url(self, url: bytes) -> None:
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._in_head:
-            return  # a trailer field after the body must not override a field of the head
-        self._error_status = self._error_status or self._headers.add(name.lower(), value)
-
-    def on_headers_complete(self) -> None:
-        self._in_head = False
-        parser, headers = self._parser, self._headers
-        assert parser is not None
-        length = headers.get(b"content-length")
-        if parser.should_upgrade() or parser.get_http_version() not in ("1.1", "1.0"):
-            self._error_status = self._error_status or 400  # the bytes that follow have another framing
-        elif b"transfer-encoding" in headers and (
-            length is not None or headers[b"transfer-encoding"].lower() != b"chunked"
-        ):
-            self._error_status = self._error_status or 400  # ambiguous framing: request smuggling
-        elif length is not None and int(length) > MAX_BODY_BYTES:
-            self._error_status = self._error_status or 413
-        self._body_size, self.body_progress_s = 0, self._frontend.active_time_s()
-        if (
-            headers.get(b"expect", b"").lower() == b"100-continue"
-            and not self._error_status
-            and not self.busy
-        ):
-            assert self._transport is not None
-            self._write_head(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # Requests in the input, reported by the parser
 
-    def on_body(self, body: bytes) -> None:
-        self._body_size += len(body)
-        if self._body_size > MAX_BODY_BYTES:
-            self._error_status = self._error_status or 413
-        elif not self._error_status:
-            self._body += body
+    def head_received(self) -> None:
+        self.body_progress_s = self._frontend.active_time_s()
+        expects_continue = self._parser.headers.get(b"expect", b"").lower() == b"100-continue"
+        if expects_continue and not self._parser.error_status and not self.busy:
+            self._write_head(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def on_message_complete(self) -> None:
-        self._request_begun, self._in_head, self._request_completed = False, True, True
-        if self._error_status:
-            return
+    def request_received(self) -> None:
         coming, self._uploading = self._uploading, None
         if coming is not None:
             coming.arrived_ms = self._frontend.loop.time() * 1000
-            self._finished_uploads.append((coming, bytes(self._body)))
+            self._finished_uploads.append((coming, bytes(self._parser.body)))
             self._just_completed.append(coming)
         else:
             self._admit(self._call())
-        self._reset()
 
     def _call(self) -> ClientCall:
-        assert self._parser is not None
-        target = self._target
-        if not target.startswith(b"/"):  # the absolute form (RFC 9112, 3.2.2)
-            scheme, _, rest = target.partition(b"://")
-            slash = rest.find(b"/")
-            target = rest[slash:] if scheme.lower() in (b"http", b"https") and slash > 0 else b""
-        call = ClientCall(self, self._parser.get_method(), target or b"/", self._headers, bytes(self._body))
-        if not target:
-            self._error_status = self._error_status or 400
-        call.keep_alive = self._parser.should_keep_alive()
-        call.lacks_chunking = self._parser.get_http_version() == "1.0"
+        parser = self._parser
+        call = ClientCall(self, parser.method, parser.path or b"/", parser.headers, bytes(parser.body))
+        if not parser.path:
+            parser.error_status = parser.error_status or 400
+        call.keep_alive = parser.keep_alive
+        call.lacks_chunking = parser.http_version == "1.0"
         return call
 
     def _admit(self, call: ClientCall) -> None:
         """Queue a valid call for the handler, or set the error status."""
-        headers = self._headers
-        if self._error_status:
+        parser = self._parser
+        if parser.error_status:
             return
         if call.target != HEALTH:
-            self._error_status = self._gate.check(call, headers)
+            parser.error_status = self._gate.check(call, parser.headers)
         elif call.method != b"GET":
-            self._error_status = 405
-        if not self._error_status:
+            parser.error_status = 405
+        if not parser.error_status:
             self._queued.append(call)
             self._just_completed.append(call)
             self._gate.queued_ids.add(call.request_id)
@@ -681,7 +606,7 @@
         is_deferred = self._deferred_error != 0 and self._open_call is not None
         self._ended = True
         self._withdraw_calls()
-        self._reset()
+        self._parser.reset()
         answers = [encode_answer(status, b"", b"", False)] if is_deferred else []
         answers += [encode_answer(503, b"", b"", False)] * refused
         self._send_last_answer(b"".join(answers) + encode_answer(status, b"", b"", True))
@@ -745,7 +670,7 @@
 
     @property
     def is_receiving(self) -> bool:
-        return self._request_begun and not self._ended
+        return self._parser.begun and not self._ended
 
     def may_be_delayed(self) -> bool:
         """Return whether the input of this connection may have waited unread for long. For use in an
@@ -761,7 +686,7 @@
             return Stage.ENDED
         if not self._has_requested:
             return Stage.SILENT
-        return Stage.BUSY if self._request_begun else Stage.IDLE
+        return Stage.BUSY if self._parser.begun else Stage.IDLE
 
     @property
     def evictable(self) -> bool:
@@ -781,13 +706,13 @@
     def refuse_incomplete_request(self) -> None:
         """Refuse a partially received request at shutdown. Its last byte may be in flight, so closing without
         an answer could drop a complete request."""
-        if self._request_begun and not self.busy:
+        if self._parser.begun and not self.busy:
             self._reject(503)
 
     @property
     def closable(self) -> bool:
         """Whether the connection is idle, without unread input."""
-        idle = not (self.busy or self._request_begun or self._ended or self._transport is None)
+        idle = not (self.busy or self._parser.begun or self._ended or self._transport is None)
         return idle and not has_unread_data(self._sock)
 
     def close_idle(self) -> bool:
@@ -831,13 +756,15 @@
         elif self._ended:
             if waited_s > LINGER_TIMEOUT_S:
                 self.end("lingered")
-        elif self._request_begun and not self._in_head and (not self.busy or self._uploading is not None):
-            late = waited_s > REQUEST_TIMEOUT_S + self._body_size / MIN_BODY_BYTES_PER_S
+        elif (
+            self._parser.begun and not self._parser.in_head and (not self.busy or self._uploading is not None)
+        ):
+            late = waited_s > REQUEST_TIMEOUT_S + self._parser.body_size / MIN_BODY_BYTES_PER_S
             if not self._upload_paused and (late or now_s - self.body_progress_s > BODY_STALL_TIMEOUT_S):
                 self._reject(408)
         elif self.busy:
             pass
-        elif self._request_begun:
+        elif self._parser.begun:
             if waited_s > REQUEST_TIMEOUT_S:
                 self._reject(408)
         elif waited_s > REQUEST_TIMEOUT_S and self._is_unreadable(now_s):
