Log: limits at the start, memory by the second, discarded answers, an end of one's own

Now a process names its limits at the start and its peak at an end of its own (one that was killed has no such line), the second's line has resident memory and what is buffered, also above three quarters of the limit, and an attempt that is given up while its server is writing is named with the request's id, server, bytes and time. Test: tests/test_load.py.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -85,6 +85,11 @@
         """Whether its head was handed to the connection."""
         return self.stream_id is not None
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of an answer's body have been received."""
+        return self.reply.received_bytes
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, unless the attempt was abandoned or has ended."""
         on_end, self.on_end = self.on_end, None
--- a/cloverrouter/lab/simcarrier.py
+++ b/cloverrouter/lab/simcarrier.py
@@ -50,6 +50,8 @@
         "call", "carrier", "conn", "host", "job", "number", "on_end", "on_open", "signal", "timer", "written",
     )  # fmt: skip
 
+    received_bytes = 0  # a simulated answer arrives as a whole
+
     @property
     def begun(self) -> bool:
         return self.written
--- a/cloverrouter/proxy/carrier.py
+++ b/cloverrouter/proxy/carrier.py
@@ -22,6 +22,10 @@
     def begun(self) -> bool:
         """Whether its first byte was handed to the transport."""
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of an answer have been received."""
+
     @property
     def signal(self) -> ConnectionSignal | None:
         """The connection signal, if its connection could not be established."""
--- a/cloverrouter/proxy/exchange.py
+++ b/cloverrouter/proxy/exchange.py
@@ -92,6 +92,11 @@
     def begun(self) -> bool:
         return self.written or self.connection is not None
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of an answer have been received."""
+        return self.connection.received_bytes if self.connection is not None else 0
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -25,14 +25,25 @@
 class Frontend:
     """The listening socket and the connections accepted from it."""
 
-    def __init__(self, gate: Gate, max_connections: int, max_buffered_bytes: int = 4 * 1024 * 1024) -> None:
-        """`max_buffered_bytes`: limit on the bytes of long bodies that are buffered at once."""
+    def __init__(
+        self,
+        gate: Gate,
+        max_connections: int,
+        max_buffered_bytes: int = 4 * 1024 * 1024,
+        memory_limit_mb: float = float("inf"),
+    ) -> None:
+        """`max_buffered_bytes`: limit on the bytes of long bodies that are buffered at once;
+        `memory_limit_mb`: of the process, named in the log."""
         self.gate = gate
         self.buffer_budget = BufferBudget(max_buffered_bytes)
         self.loop = asyncio.get_running_loop()
         self.errors = contained_errors_of(self.loop)
         self.pause_detector = pause_detector_of(self.loop)
-        self.load = LoadCounters(lambda: (self.count, self._max_connections))
+        self.load = LoadCounters(
+            lambda: (self.count, self._max_connections),
+            lambda: self.buffer_budget.reserved_bytes,
+            memory_limit_mb,
+        )
         self.pause_detector.on_pause.append(lambda gap: self.load.paused(gap.span_s, gap.cause.value))
         self.observer: Observer | None = None
         self.buffer = memoryview(bytearray(READ_BUFFER_BYTES))
--- a/cloverrouter/proxy/load.py
+++ b/cloverrouter/proxy/load.py
@@ -13,8 +13,11 @@
 from collections.abc import Callable
 from enum import Enum
 
+from cloverrouter.proxy.memory import resident_mb
+
 LOG_INTERVAL_S = 1.0
 NOTEWORTHY_DELAY_S = 0.05  # in the listen queue
+NOTEWORTHY_MEMORY_SHARE = 0.75  # of the memory limit
 log = logging.getLogger(__name__)
 
 
@@ -39,9 +42,16 @@
 class LoadCounters:
     """The frontend's counters since the last log line, and in total."""
 
-    def __init__(self, connections: Callable[[], tuple[int, int]]) -> None:
-        """`connections`: returns the number of open connections and the limit."""
-        self._connections = connections
+    def __init__(
+        self,
+        connections: Callable[[], tuple[int, int]],
+        buffered_bytes: Callable[[], int] = lambda: 0,
+        memory_limit_mb: float = float("inf"),
+    ) -> None:
+        """`connections`: returns the number of open connections and the limit; `buffered_bytes`: returns how
+        many bytes of messages are buffered."""
+        self._connections, self._buffered_bytes = connections, buffered_bytes
+        self._memory_limit_mb = memory_limit_mb
         self.total: Counter[str] = Counter()  # since the start, by event
         self._second: Counter[str] = Counter()
         self._accept_delay_s = 0.0
@@ -78,7 +88,8 @@
     def log_if_noteworthy(self) -> None:
         """Log the counters of the interval that ends now, if noteworthy, and start the next one."""
         cpu_s, self._cpu_s = self._cpu_s, time.process_time()
-        if self.noteworthy:
+        memory_mb = resident_mb()
+        if self.noteworthy or memory_mb > NOTEWORTHY_MEMORY_SHARE * self._memory_limit_mb:
             count, most = self._connections()
             fields = {
                 "connections": count,
@@ -86,6 +97,8 @@
                 "accept_delay_ms": round(self._accept_delay_s * 1000),
                 "paused_ms": round(self._pause_s * 1000),
                 "cpu_ms": round((self._cpu_s - cpu_s) * 1000),
+                "rss_mb": round(memory_mb),
+                "buffered_kb": self._buffered_bytes() // 1024,
                 **self._second,
             }
             log.warning("front_load %s", " ".join(f"{name}={value}" for name, value in fields.items()))
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -531,6 +531,15 @@
         """Cancel an attempt. One whose last byte was not written has never run."""
         exchange = attempt.exchange
         if exchange is not None:
+            if exchange.received_bytes:
+                log.warning(
+                    "answer_discarded request_id=%s server=%s received_bytes=%d after_ms=%d outcome=%s",
+                    attempt.request.call.request_id.decode("latin-1"),
+                    attempt.host[0],
+                    exchange.received_bytes,
+                    self.now_ms() - attempt.sent_ms,
+                    outcome.value,
+                )
             if not exchange.written:
                 outcome = Outcome.CONNECT_FAILED if outcome is Outcome.TIMEOUT else Outcome.NOT_SENT
             self.errors.run("attempt_abandon", exchange.abandon, attempt.host[0])
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -44,7 +44,7 @@
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
-        self._received = 0
+        self.received_bytes = 0
         self._sink: AnswerSink | None = None  # receiver of the answer that is being streamed
         self._reading_paused = False  # backpressure: the client reads too slowly
         self.last_progress_s = 0.0  # of the last byte, on the clock that excludes process pauses
@@ -75,7 +75,7 @@
             self._pool.record_use(self, True)
             exchange.end(Outcome.CONNECT_FAILED)
             return
-        self._received = 0
+        self.received_bytes = 0
         self.last_progress_s = self._pool.upstream.active_time_s()
         self._exchange = exchange
         exchange.connection = self
@@ -143,7 +143,7 @@
         if self._exchange is None or self._parser is None:
             self.abort()  # unexpected data while idle could be taken for the next answer
             return
-        self._received += nbytes
+        self.received_bytes += nbytes
         upstream = self._pool.upstream
         if upstream.pause_detector.waiting_since_s(upstream.loop.time()) is None:
             self._unread_ms = 0.0
@@ -157,7 +157,9 @@
                 self._extra_data = True
             else:
                 self._malformed = self._malformed or str(error)
-        if not self._complete and self._received > (MAX_HEAD_BYTES if self._in_head else MAX_RESPONSE_BYTES):
+        if not self._complete and self.received_bytes > (
+            MAX_HEAD_BYTES if self._in_head else MAX_RESPONSE_BYTES
+        ):
             self._malformed = self._malformed or "response too large"
         self._process_read()
 
@@ -256,7 +258,7 @@
             return
         if sink is not None:
             self._pool.upstream.errors.run("answer_cut", sink.abort, self._pool.host[0])
-        if not self._received and not malformed:
+        if not self.received_bytes and not malformed:
             self._pool.record_use(self, True)  # no byte of an answer: it may have been closed before its use
         if not exchange.written:
             exchange.end(Outcome.CONNECT_FAILED)
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -17,6 +17,7 @@
 from cloverrouter.proxy.containment import Periodic
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import Frontend
+from cloverrouter.proxy.memory import peak_resident_mb
 from cloverrouter.proxy.node import Node, max_timeout_ms
 from cloverrouter.proxy.observer import with_observer
 from cloverrouter.proxy.presence import Presence
@@ -198,7 +199,7 @@
     classes = {cls.name: cls.idempotency for cls in current.settings.classes}
     gate = Gate(node, classes, loop.time)
     gate.retry_after_ms = retry_after_ms(current.settings)
-    frontend = Frontend(gate, budget.clients, buffer_bytes)
+    frontend = Frontend(gate, budget.clients, buffer_bytes, current.memory_mb)
     if appliance is not None:
         await appliance.start(frontend)
     try:
@@ -214,6 +215,14 @@
         await management.listen(current.management)
     if presence is not None:
         update_limits()
+    log.info(
+        "limits memory_mb=%g descriptors=%d client_connections=%d server_connections=%d buffer_kb=%d",
+        current.memory_mb,
+        current.sockets,
+        budget.clients,
+        budget.hosts,
+        buffer_bytes // 1024,
+    )
     log.info("%s serves at %s:%d", current.name, *current.listen)
 
     await stop.wait()
@@ -229,6 +238,7 @@
     if appliance is not None:
         await appliance.close()
     signals.block()
+    log.info("exiting code=%d peak_rss_mb=%.1f", bool(crashes), peak_resident_mb())
     if crashes:
         log.critical("exiting after a crash of the decisions: %s", crashes[0])
         return 1
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -39,6 +39,15 @@
     assert counters.total["deferred_recovering"] == counters.total["deferred_no_descriptors"] == 1
 
 
+# Guards against: a process near its memory limit whose log says nothing of its memory.
+def test_memory_near_its_limit_is_logged_with_what_is_buffered(caplog: pytest.LogCaptureFixture) -> None:
+    assert logged_lines(caplog, LoadCounters(lambda: (3, 10), lambda: 5000, memory_limit_mb=100_000.0)) == []
+    (line,) = logged_lines(caplog, LoadCounters(lambda: (3, 10), lambda: 5000, memory_limit_mb=1.0))
+    fields = dict(field.split("=") for field in line.split()[1:])
+    assert int(fields["rss_mb"]) >= 1
+    assert fields["buffered_kb"] == "4"
+
+
 def test_delay_in_the_queue_alone_is_logged(caplog: pytest.LogCaptureFixture) -> None:
     counters = LoadCounters(lambda: (3, 10))
     counters.accepted(0.06)
