A long answer that its server is still writing is passed on when its time is over

Cause: an answer is buffered up to 64 KiB, also one of declared greater length until its first body byte, and the attempt's time ended it there: Node._timed_out gave up whatever had come. Now the head of an answer that is declared longer is passed on at once, and one of undeclared length once its time is over, as long as it goes on (LateAnswer); a stopped one still gets its 502 within the grace, and one that stops or trickles after it was streamed is cut, which its client can tell. HTTP/3's carrier has the same seam. Class: a time limit for a whole message applied to one of which only the beginning is due.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -38,7 +38,7 @@
 from cloverrouter.proxy.descriptors import descriptor_budget_of, is_descriptor_exhaustion
 from cloverrouter.proxy.exchange import Host, OnBegin, OnEnd
 from cloverrouter.proxy.exchange import outcome_of as outcome_of_answer
-from cloverrouter.proxy.messages import Answer, AnswerSink, Call
+from cloverrouter.proxy.messages import Answer, AnswerProgress, AnswerSink, Call
 from cloverrouter.proxy.upstream import IDLE_TIMEOUT_FRACTION
 
 SWEEP_S = 0.5
@@ -90,6 +90,21 @@
         """How many bytes of an answer's body have been received."""
         return self.reply.received_bytes
 
+    def answer_progress(self) -> AnswerProgress | None:
+        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        reply = self.reply
+        if self.connection is None or not reply.status:
+            return None
+        if reply.length is not None and not reply.exceeds_buffer:
+            return None
+        return AnswerProgress(
+            reply.received_bytes, 0.0 if self.answer_paused else self.connection.idle_s(self)
+        )
+
+    def stream_answer(self) -> bool:
+        """Start to stream an answer that has begun and may be long; return whether it is streamed."""
+        return self.connection is not None and self.connection.stream_answer(self)
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, unless the attempt was abandoned or has ended."""
         on_end, self.on_end = self.on_end, None
@@ -369,7 +384,7 @@
             if event.stream_ended:
                 reply.check_complete()
                 self._finish(exchange)
-            elif reply.status and reply.buffered and (exchange.sink is not None or reply.exceeds_buffer):
+            elif reply.status and (exchange.sink is not None or reply.exceeds_buffer):
                 self._forward_answer(exchange)
         except MalformedAnswer as error:
             self._fail(exchange, AttemptEnd.MALFORMED, reason=str(error))
@@ -377,21 +392,46 @@
     def _answer(self, reply: Reply, body: bytes) -> Answer:
         return Answer(reply.status, body, reply.content_type, reply.never_ran, reply.report, reply.length)
 
+    def idle_s(self, exchange: Exchange) -> float:
+        """Return the seconds since the last progress of `exchange`."""
+        return self._loop.time() - exchange.progress_s
+
+    def stream_answer(self, exchange: Exchange) -> bool:
+        """Start to stream an answer that may be long, before its length is known; return whether it is
+        streamed."""
+        if exchange.sink is None:
+            if exchange.answer_progress() is None or not self._begin_stream(exchange):
+                return False
+            self._forward_body(exchange)
+        return True
+
     def _forward_answer(self, exchange: Exchange) -> None:
         """Forward the received part of a long answer, and pause its server if the client reads too slowly."""
-        reply = exchange.reply
-        if exchange.sink is None:
-            answer = self._answer(reply, b"")
-            if outcome_of_answer(answer) is Outcome.OK and exchange.written and exchange.on_begin is not None:
-                exchange.sink = exchange.on_begin(answer)
-            if exchange.connection is not self:
-                return  # abandoned by that callback
-            if exchange.sink is None:
+        if exchange.sink is None and not self._begin_stream(exchange):
+            if exchange.connection is self:  # not abandoned in the meantime
                 raise MalformedAnswer("too large to be buffered")
-            exchange.sink.on_ready = lambda: self._resume_answer(exchange)
-        piece = bytes(reply.buffered)
-        reply.buffered.clear()
-        if not exchange.sink.write(piece) and not exchange.answer_paused and exchange.stream_id is not None:
+            return
+        self._forward_body(exchange)
+
+    def _begin_stream(self, exchange: Exchange) -> bool:
+        """Pass on the head of the answer; False if it can't be streamed, or nobody waits for it."""
+        answer = self._answer(exchange.reply, b"")
+        if outcome_of_answer(answer) is not Outcome.OK or not exchange.written or exchange.on_begin is None:
+            return False
+        sink = exchange.on_begin(answer)
+        if sink is None or exchange.connection is not self:  # abandoned by that callback
+            return False
+        exchange.sink = sink
+        sink.on_ready = lambda: self._resume_answer(exchange)
+        return True
+
+    def _forward_body(self, exchange: Exchange) -> None:
+        """Pass on what has been received of the body."""
+        assert exchange.sink is not None
+        piece = bytes(exchange.reply.buffered)
+        exchange.reply.buffered.clear()
+        paused = bool(piece) and not exchange.sink.write(piece)
+        if paused and not exchange.answer_paused and exchange.stream_id is not None:
             exchange.answer_paused = True
             self.quic.set_receive_paused(exchange.stream_id, True)
 
--- a/cloverrouter/lab/simcarrier.py
+++ b/cloverrouter/lab/simcarrier.py
@@ -52,6 +52,12 @@
 
     received_bytes = 0  # a simulated answer arrives as a whole
 
+    def answer_progress(self) -> None:
+        return None
+
+    def stream_answer(self) -> bool:
+        return False
+
     @property
     def begun(self) -> bool:
         return self.written
--- a/cloverrouter/proxy/carrier.py
+++ b/cloverrouter/proxy/carrier.py
@@ -8,7 +8,7 @@
 
 from cloverrouter.interface import ConnectionSignal
 from cloverrouter.proxy.exchange import Host, OnBegin, OnEnd
-from cloverrouter.proxy.messages import Call
+from cloverrouter.proxy.messages import AnswerProgress, Call
 
 
 class SentAttempt(Protocol):
@@ -26,6 +26,12 @@
     def received_bytes(self) -> int:
         """How many bytes of an answer have been received."""
 
+    def answer_progress(self) -> AnswerProgress | None:
+        """Return how far an answer has come that has begun and may be long; None if there is none."""
+
+    def stream_answer(self) -> bool:
+        """Start to stream an answer that has begun and may be long; return whether it is streamed."""
+
     @property
     def signal(self) -> ConnectionSignal | None:
         """The connection signal, if its connection could not be established."""
--- a/cloverrouter/proxy/exchange.py
+++ b/cloverrouter/proxy/exchange.py
@@ -8,7 +8,7 @@
 
 from cloverrouter.interface import ConnectionSignal, Outcome
 from cloverrouter.proxy.config import Address
-from cloverrouter.proxy.messages import Answer, AnswerSink, Call, Upload
+from cloverrouter.proxy.messages import Answer, AnswerProgress, AnswerSink, Call, Upload
 
 if TYPE_CHECKING:
     from cloverrouter.proxy.server_connection import ServerConnection
@@ -97,6 +97,14 @@
         """How many bytes of an answer have been received."""
         return self.connection.received_bytes if self.connection is not None else 0
 
+    def answer_progress(self) -> AnswerProgress | None:
+        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        return self.connection.answer_progress() if self.connection is not None else None
+
+    def stream_answer(self) -> bool:
+        """Start to stream an answer that may be long; return whether it is streamed."""
+        return self.connection is not None and self.connection.stream_answer()
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from cloverrouter.values import Value
 
@@ -25,6 +25,13 @@
     waited_ms: float | None = None  # unread in the socket while this process was paused; None: not known
 
 
+class AnswerProgress(NamedTuple):
+    """How far an answer has come whose server has not declared a short length."""
+
+    body_bytes: int  # received so far
+    idle_s: float  # seconds in which the server has sent nothing, although it could have
+
+
 class AnswerSink(Protocol):
     """The receiver of a streamed answer's pieces."""
 
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -50,6 +50,7 @@
 from cloverrouter.proxy.config import Address, HostList
 from cloverrouter.proxy.containment import contained_errors_of
 from cloverrouter.proxy.lag import LagMeter
+from cloverrouter.proxy.late_answers import LateAnswer
 from cloverrouter.proxy.load_report import read_report
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.observer import AttemptResult, Observer, RequestResult
@@ -515,10 +516,29 @@
         if self.pause_detector.paused_at_expiry(attempt.expires_ms / 1000):
             # Its answer may be in the socket, not fully read yet; if not, that is not the server's fault.
             attempt.timer = self._loop.call_later(
-                READ_AFTER_PAUSE_S, self._give_up, attempt, Outcome.CANCELLED
+                READ_AFTER_PAUSE_S, self._end_overdue, attempt, Outcome.CANCELLED
             )
         else:
-            self._give_up(attempt, Outcome.TIMEOUT)
+            self._end_overdue(attempt, Outcome.TIMEOUT)
+
+    def _end_overdue(self, attempt: OpenAttempt, outcome: Outcome) -> None:
+        """End an attempt whose time is over, unless its server is writing an answer that may be long."""
+        exchange, request = attempt.exchange, attempt.request
+        if exchange is None or exchange.answer_progress() is None:
+            self._give_up(attempt, outcome)
+            return
+        due_ms = request.deadline_ms
+        if due_ms is None:
+            due_ms = request.call.arrived_ms + self._max_timeout_ms
+        attempt.late_answer = LateAnswer(
+            self._loop, exchange, due_ms / 1000, partial(self._give_up_answer, attempt, outcome)
+        )
+
+    def _give_up_answer(self, attempt: OpenAttempt, outcome: Outcome) -> None:
+        """Give up an answer that has begun and does not go on; one that is streamed is cut off."""
+        if attempt.sink is not None:
+            self.errors.run("answer_cut", attempt.sink.abort, attempt.host[0])
+        self._give_up(attempt, outcome)
 
     def _give_up_if_unsent(self, attempt: OpenAttempt) -> None:
         """Give up a retry that is not sent yet: sent after the idempotency window of the servers, it would be
@@ -565,8 +585,7 @@
         request = attempt.request
         if request.attempts.pop(attempt.number, None) is None:
             return
-        if attempt.timer is not None:
-            attempt.timer.cancel()
+        attempt.stop_timers()
         latency_ms, uncertain = self._server_latency_ms(attempt, outcome, answer)
         self._record("attempt_ended", request.call.request_id, (attempt.host[0], outcome.value))
         if attempt.first_byte_ms is not None:
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -20,6 +20,7 @@
     MAX_HEAD_BYTES,
     STREAMING_THRESHOLD_BYTES,
     Answer,
+    AnswerProgress,
     AnswerSink,
 )
 from cloverrouter.proxy.sockets import has_unread_data
@@ -56,6 +57,7 @@
 
     def _reset_response(self) -> None:
         self._body = bytearray()
+        self._body_bytes = 0  # of the body so far, including those already passed on
         self._in_head = True
         self._framed = self._until_close = False
         self._length: int | None = None
@@ -170,30 +172,62 @@
             self._finish()
         elif self._malformed:
             self._fail(self._malformed)
-        elif self._body and (
-            self._sink is not None or max(len(self._body), self._length or 0) > STREAMING_THRESHOLD_BYTES
-        ):
+        elif not self._in_head and (self._sink is not None or self._exceeds_buffer):
             self._stream_body()
 
+    @property
+    def _exceeds_buffer(self) -> bool:
+        """Whether the answer is known to be too long to be buffered as a whole."""
+        return max(len(self._body), self._length or 0) > STREAMING_THRESHOLD_BYTES
+
+    def stream_answer(self) -> bool:
+        """Start to stream an answer that may be long, before its length is known; return whether it is
+        streamed. Its first bytes are due when the request's time is over, and its end is not."""
+        if self._sink is not None:
+            return True
+        if self.answer_progress() is None or not self._begin_stream():
+            return False
+        self._forward_body()
+        return True
+
+    def answer_progress(self) -> AnswerProgress | None:
+        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        if self._in_head or self._malformed or (self._length is not None and not self._exceeds_buffer):
+            return None
+        idle_s = 0.0 if self._reading_paused else self._pool.upstream.active_time_s() - self.last_progress_s
+        return AnswerProgress(self._body_bytes, idle_s)
+
     def _stream_body(self) -> None:
         """Stream the body to the client as it arrives, as fast as the client reads it."""
-        exchange, transport = self._exchange, self._transport
-        assert exchange is not None and transport is not None
-        if self._sink is None:
-            answer = self._answer(b"")
-            if outcome_of(answer) is Outcome.OK and exchange.written and exchange.on_begin is not None:
-                self._sink = exchange.on_begin(answer)
-            if self._exchange is not exchange:
-                return  # cancelled by `on_begin`
-            if self._sink is None:
+        exchange = self._exchange
+        if self._sink is None and not self._begin_stream():
+            if self._exchange is exchange:  # not cancelled in the meantime
                 self._fail("too large")
-                return
-            self._sink.on_ready = self._resume_stream
+            return
+        self._forward_body()
+
+    def _begin_stream(self) -> bool:
+        """Pass on the head of the answer; False if it can't be streamed, or nobody waits for it."""
+        exchange = self._exchange
+        assert exchange is not None
+        answer = self._answer(b"")
+        if outcome_of(answer) is not Outcome.OK or not exchange.written or exchange.on_begin is None:
+            return False
+        sink = exchange.on_begin(answer)
+        if sink is None or self._exchange is not exchange:  # cancelled by `on_begin`
+            return False
+        self._sink = sink
+        sink.on_ready = self._resume_stream
+        return True
+
+    def _forward_body(self) -> None:
+        """Pass on what has been received of the body."""
+        assert self._sink is not None and self._transport is not None
         piece = bytes(self._body)
         self._body.clear()
         if piece and not self._sink.write(piece) and not self._reading_paused:
             self._reading_paused = True
-            transport.pause_reading()
+            self._transport.pause_reading()
 
     def _resume_stream(self) -> None:
         if self._reading_paused and self._transport is not None:
@@ -341,6 +375,7 @@
 
     def on_body(self, body: bytes) -> None:
         if not self._complete and not self._malformed:
+            self._body_bytes += len(body)
             self._body += body  # exceeds the size of a buffered body by one read at most
 
     def on_message_complete(self) -> None:
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,132 @@
+"""Which answers are streamed, waited for or cut off once the time of their request is over."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from cloverrouter.proxy.late_answers import GRACE_S, LateAnswer
+from cloverrouter.proxy.messages import AnswerProgress
+
+DUE_S = 1.0
+LOST_AFTER_S = 0.5  # after the request's time
+Timeline = Callable[[float], int]  # body bytes received by a time
+
+
+class ManualLoop:
+    """A clock that is moved by hand, with its timers."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.5
+        self._timers: list[tuple[float, Callable[..., object], tuple[Any, ...]]] = []
+
+    def time(self) -> float:
+        return self.now_s
+
+    def call_later(self, delay: float, callback: Callable[..., object], *args: Any) -> Any:
+        entry = (self.now_s + delay, callback, args)
+        self._timers.append(entry)
+        loop = self
+
+        class Handle:
+            def cancel(self) -> None:
+                if entry in loop._timers:
+                    loop._timers.remove(entry)
+
+        return Handle()
+
+    def run(self, until_s: float) -> None:
+        while due := [timer for timer in self._timers if timer[0] <= until_s]:
+            timer = min(due, key=lambda entry: entry[0])
+            self._timers.remove(timer)
+            self.now_s = max(self.now_s, timer[0])
+            timer[1](*timer[2])
+
+
+class FakeAttempt:
+    """An attempt whose answer arrives by a timeline; its head is there from the start."""
+
+    signal = None
+    written = begun = True
+
+    def __init__(self, loop: ManualLoop, received: Timeline) -> None:
+        self._loop, self._received = loop, received
+        self.streamed_s: float | None = None
+
+    @property
+    def received_bytes(self) -> int:
+        return self._received(self._loop.now_s)
+
+    def answer_progress(self) -> AnswerProgress | None:
+        now_s, count = self._loop.now_s, self.received_bytes
+        steps = (i / 100 for i in range(int(now_s * 100), -1, -1))
+        changed_s = next((s for s in steps if self._received(s) < count), 0.0)
+        return AnswerProgress(count, now_s - changed_s)
+
+    def stream_answer(self) -> bool:
+        self.streamed_s = self.streamed_s or self._loop.now_s
+        return True
+
+    def abandon(self) -> None:
+        raise AssertionError("not called here")
+
+
+def decide(received: Timeline, until_s: float = 10.0) -> tuple[float | None, float | None]:
+    """Return when the answer was streamed and when it was given up."""
+    loop = ManualLoop()
+    attempt, given_up = FakeAttempt(loop, received), []
+    LateAnswer(loop, attempt, DUE_S, lambda: given_up.append(loop.now_s))
+    loop.run(until_s)
+    return attempt.streamed_s, given_up[0] if given_up else None
+
+
+# Guards against: a long answer whose length is not declared is cut off although its server goes on with it.
+@pytest.mark.parametrize(
+    "received",
+    [
+        lambda at_s: int(60_000 * at_s),
+        lambda at_s: 20_000 * int(at_s / 0.55),  # lumps
+        lambda at_s: max(0, int(100_000 * (at_s - 2.4))),  # a late body
+    ],
+    ids=["steady", "lumps", "late-body"],
+)
+def test_answer_that_goes_on_is_streamed_in_time_and_not_given_up(received: Timeline) -> None:
+    streamed_s, given_up_s = decide(received)
+    assert streamed_s is not None
+    assert DUE_S <= streamed_s < DUE_S + LOST_AFTER_S
+    assert given_up_s is None
+
+
+# Guards against: an answer that stops, or trickles for ever, keeps its client without a final answer.
+@pytest.mark.parametrize("part_bytes", [1, 5000])
+def test_answer_that_stopped_is_given_up_unstreamed_within_the_grace(part_bytes: int) -> None:
+    streamed_s, given_up_s = decide(lambda at_s: part_bytes)
+    assert streamed_s is None
+    assert given_up_s is not None
+    assert given_up_s <= DUE_S + LOST_AFTER_S
+
+
+def test_answer_that_stops_or_trickles_once_streamed_is_cut_off() -> None:
+    stops = decide(lambda at_s: min(9_000, int(9_000 * at_s)))
+    trickles = decide(lambda at_s: int(at_s * 20))
+    for streamed_s, given_up_s in (stops, trickles):
+        assert streamed_s == DUE_S
+        assert given_up_s is not None
+        assert given_up_s < DUE_S + 2.5
+
+
+def test_head_without_a_body_is_given_up_at_last() -> None:
+    streamed_s, given_up_s = decide(lambda at_s: 0)
+    assert streamed_s == pytest.approx(DUE_S + GRACE_S, abs=0.06)
+    assert given_up_s is not None
+    assert given_up_s < 3.1
+
+
+def test_stopped_watch_decides_nothing() -> None:
+    loop = ManualLoop()
+    attempt = FakeAttempt(loop, lambda at_s: 10)
+    LateAnswer(loop, attempt, DUE_S, lambda: pytest.fail("given up")).stop()
+    loop.run(5.0)
+    assert attempt.streamed_s is None
