A start that fails closes its watch of discovery before the event loop ends

Cause: a failed start left serve() by an exception, past the call that ends the watch, so that its connection to discovery was open when the loop closed. serve() now ends the watch on every way out.

--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -7,7 +7,7 @@
 import os
 import resource
 import signal
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from typing import TYPE_CHECKING
 
 from cloverrouter.decide import retry_after_ms
@@ -53,6 +53,14 @@
     `current`: the configuration in force, which a reload replaces; `early`: signals before the loop ran;
     `site`: the operators' settings; `presence`: detects other processes of this proxy, if there may be any.
     """
+    with ExitStack() as cleanup:
+        return await _serve(current, early, site, presence, cleanup)
+
+
+async def _serve(
+    current: Config, early: EarlySignals, site: Site | None, presence: Presence | None, cleanup: ExitStack
+) -> int:
+    """Implement `serve`; `cleanup`: what has to be closed before the event loop is, also if a start fails."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -152,6 +160,7 @@
     watch = Watch(
         current.discovery, current.clock, pushed, on_list, lambda: node.discovery_failed(), drain_grace_s
     )
+    cleanup.callback(watch.stop)
     node = Node(current.settings, current.seed, upstream, watch.start, crash)
     upstream.on_signal = node.report_signal
     appliance = None if site is None else compose.Appliance(site, current, node)
