Of a request's head only the fields that are used are kept

Seen by operators: a process over its memory limit within a second of its start, with hundreds of clients connected. Cause: what is kept of a head was limited to 16 KiB of names and values, but each field costs some hundred bytes more as two byte strings in a dictionary, so that 2,500 short fields took 0.2 MB a connection. Evidence: 460 clients with such heads took 107 MB, with one field as long 27 MB. Excluded: a leak (after the crowd the same process returned to 31 MB). Fields that nobody reads are not forwarded either, so they need not be kept; their bytes count against the limit as before. HTTP/3 told a pseudo-header after a regular field by the kept ones; it notes regular fields itself now. Class: a limit in bytes on something whose cost is by piece.

--- a/cloverrouter/http3/fields.py
+++ b/cloverrouter/http3/fields.py
@@ -32,14 +32,16 @@
 def parse_request(fields: Fields) -> Request | int:
     """Parse the field section of a request; an int is the status of the error to answer."""
     pseudo: dict[bytes, bytes] = {}
-    head = Head()
+    head, in_pseudo_fields = Head(), True
     for name, value in fields:
         if name[:1] == b":":
             # After a regular field, or repeated, it would be ambiguous which value counts (RFC 9114, 4.3).
-            if head or name in pseudo:
+            if not in_pseudo_fields or name in pseudo:
                 return 400
             pseudo[name] = value
-        elif name in FRAMING_FIELDS or (name == b"te" and value != b"trailers"):
+            continue
+        in_pseudo_fields = False
+        if name in FRAMING_FIELDS or (name == b"te" and value != b"trailers"):
             return 400
         elif fault := head.add(name, value):
             return fault
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -28,6 +28,12 @@
     b"transfer-encoding",
 ))  # fmt: skip
 
+# The fields that the proxy uses. Others are not forwarded, and not kept: thousands of short ones take up many
+# times their bytes in memory.
+USED_FIELDS = SINGLE_VALUED_FIELDS | {
+    b"content-type", b"expect", b"x-cost", b"x-retried",
+}  # fmt: skip
+
 
 class Handler(Protocol):
     """The receiver of valid calls."""
@@ -55,7 +61,7 @@
 
 
 class Head(dict[bytes, bytes]):
-    """The header fields of one message by their lower-case names, added as they are parsed."""
+    """The used header fields of one message by their lower-case names, added as they are parsed."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -66,6 +72,8 @@
         self._size += len(name) + len(value)
         if self._size > MAX_HEAD_BYTES:
             return 431
+        if name not in USED_FIELDS:
+            return 0
         if name in self and name in SINGLE_VALUED_FIELDS:
             return 400
         self[name] = value.strip()
