What connections hold of messages comes out of one budget, which follows from the memory limit

Only bodies over 64 KiB had a common budget. Now whatever a connection holds beyond 4 KiB is counted against a quarter of what memory_mb leaves beside the program. While that is exhausted, large requests that are being received are refused (503, refused_no_memory; they never ran), input is read in small pieces and command by command, and answers are streamed instead of kept. Small messages go on as before. Bodies of answers other than 200 are not kept. Class: a bound for each of many, in place of one for all.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -126,6 +126,11 @@
         self.body_paused = not self.connection.send_body(self, data, end=False)
         return not self.body_paused
 
+    @property
+    def unsent_bytes(self) -> int:
+        """0: HTTP/3 reserves what it buffers of bodies in the budget for long ones."""
+        return 0
+
     def finish_body(self) -> None:
         """Mark the end of a complete body."""
         if self.connection is not None and self.stream_id is not None:
--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -17,6 +17,7 @@
 from cloverrouter.proxy.client_call import ClientCall
 from cloverrouter.proxy.direct import DirectTransport
 from cloverrouter.proxy.load import RefusalReason
+from cloverrouter.proxy.memory import FREE_BYTES, MemoryAccount
 from cloverrouter.proxy.messages import (
     STREAMING_THRESHOLD_BYTES,
     Answer,
@@ -33,7 +34,8 @@
     from cloverrouter.proxy.frontend import Frontend
 
 READ_BUFFER_BYTES = 64 * 1024
-STREAM_BUFFER_BYTES = 32 * 1024  # unsent bytes of a streamed answer beyond which its host has to wait
+WRITE_BUFFER_BYTES = 4 * 1024  # unsent bytes beyond which no call is started and a streamed answer waits
+CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
 MAX_QUEUED_CALLS = 16
@@ -90,6 +92,7 @@
         self._deferred_since_s = 0.0
         self._unparsed = b""  # input that was read, and has to wait until fewer calls are queued
         self._read_s = 0.0  # when the last input was read
+        self._read_limit = READ_BUFFER_BYTES  # how much the last read could take
         self._delayed_read_since_s: float | None = None  # since when it may have waited unread
         self._ended = False  # an error or the last answer has been sent: further input is discarded
         self._has_requested = False  # a complete request has been received
@@ -105,6 +108,7 @@
         self._reading_paused = False  # for that reason, or since enough calls wait
         self._unread_since_s = 0.0  # since when input may be unread because calls wait; 0: it is not
         self._resumed_s = 0.0  # when reading was last resumed
+        self._memory = MemoryAccount(frontend.memory)
         self._reserved_bytes = 0  # of the shared buffer budget, for the bodies of the open calls
         # Bytes of streamed answers that were written, and that had left the write buffer at the last check.
         self._stream_written = self._stream_flushed = 0
@@ -117,7 +121,9 @@
     # asyncio.BufferedProtocol: all connections share one buffer, since each read is processed immediately
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._frontend.buffer
+        view = self._frontend.memory.view(self._frontend.buffer)
+        self._read_limit = len(view)
+        return view
 
     def buffer_updated(self, nbytes: int) -> None:
         if self._ended or self._deferred_error or self._transport is None:
@@ -151,12 +157,25 @@
         self._finish_uploads()
         if not self._parser.error_status:
             self._forward_body()
+        if not self._parser.error_status and not self._may_hold_request():
+            self._abandon_request()
         if self._parser.error_status:
             self._reject(self._parser.error_status)
         else:
             self._next()
             self._continue_input()
 
+    def _may_hold_request(self) -> bool:
+        """Whether there is memory for the part of a request that has been received."""
+        held_bytes = self._parser.held_bytes
+        return held_bytes <= FREE_BYTES or self._memory.may_hold(self._held_bytes)
+
+    def _abandon_request(self) -> None:
+        """Refuse the request that is being received, for lack of memory; it was not forwarded."""
+        self._frontend.load.refused(RefusalReason.NO_MEMORY)
+        self._record("refused", RefusalReason.NO_MEMORY.value)
+        self._parser.abandon(503)
+
     def _parse(self, data: memoryview) -> memoryview:
         """Parse `data` until enough calls are queued or a request is invalid; return the rest."""
         rest, parser = data, self._parser
@@ -181,6 +200,8 @@
             return True
         if not self._queued:
             return False
+        if self._frontend.memory.exhausted:
+            return True
         # One more body fits, which is at most as long as one that is not streamed.
         waiting_bytes = sum(len(call.body) for call in self._queued)
         return waiting_bytes > MAX_QUEUED_BYTES - STREAMING_THRESHOLD_BYTES
@@ -235,7 +256,7 @@
             self._nothing_read = False
             since_s = since_s or pause_detector.first_data_waiting_since_s(now_s, self._opened_s)
         # If the read filled the buffer, the remaining input may have waited as long.
-        self.delayed_since_s = since_s or 0.0 if nbytes == READ_BUFFER_BYTES else 0.0
+        self.delayed_since_s = since_s or 0.0 if nbytes >= self._read_limit else 0.0
         self._read_s, self._delayed_read_since_s = now_s, since_s
 
     def _record_arrival(self, is_last_input: bool) -> None:
@@ -290,6 +311,7 @@
         """Admit a call with the first part of its body; the rest is streamed as it is received."""
         call = self._call()
         call.upload = Upload(length, self._pause_upload, self._resume_upload)
+        call.upload.first_part_bytes = len(call.body)
         self._parser.body.clear()
         self._admit(call)
         if not self._parser.error_status:
@@ -336,7 +358,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         before, self._transport = self._transport, cast(asyncio.Transport, transport)
         self._direct = False
-        self._transport.set_write_buffer_limits(high=STREAMING_THRESHOLD_BYTES)
+        self._transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._frontend.add(self)
         if isinstance(before, DirectTransport):
             self._continue_from(before)
@@ -355,6 +377,7 @@
         self._parser.close()
         self._frontend.remove(self)
         self._withdraw_calls()
+        self._memory.hold(0)
 
     def pause_writing(self) -> None:
         self._writing_paused, self.state_since_s = True, self._frontend.active_time_s()
@@ -525,7 +548,6 @@
         chunked = answer.length is None and not call.lacks_chunking
         close = self._closes_after(call) or (answer.length is None and call.lacks_chunking)
         self._write_head(encode_stream_head(answer, self._gate.alt_svc, chunked, close))
-        transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
         self._stream = StreamedAnswer(
             self, chunked, close, self_delimited=chunked or answer.length is not None
         )
@@ -540,6 +562,7 @@
             self.fail("client_answer_piece", error)
             return False
         self._stream_written += len(data)
+        self.record_memory()
         return not self._writing_paused
 
     def finish_stream(self, stream: StreamedAnswer, close: bool) -> None:
@@ -664,6 +687,25 @@
 
     # State, for the frontend
 
+    @property
+    def _held_bytes(self) -> int:
+        """How much memory this connection's messages take."""
+        held = self._parser.held_bytes + len(self._unparsed)
+        for call in self._queued:
+            held += len(call.body) + CALL_BYTES
+        if self._open_call is not None:
+            # Once more in the buffer of a host's connection, until the host has read it.
+            held += 2 * len(self._open_call.body) + CALL_BYTES
+            if self._open_call.upload is not None:
+                held += self._open_call.upload.held_bytes
+        if self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        return held
+
+    def record_memory(self) -> None:
+        """Record how much memory this connection's messages take."""
+        self._memory.hold(self._held_bytes)
+
     @property
     def busy(self) -> bool:
         return self._has_calls or bool(self._unparsed) or self._deferred_error != 0
--- a/cloverrouter/proxy/frontend.py
+++ b/cloverrouter/proxy/frontend.py
@@ -14,6 +14,7 @@
 from cloverrouter.proxy.keeping import BufferBudget
 from cloverrouter.proxy.listener import Listener
 from cloverrouter.proxy.load import LOG_INTERVAL_S, LoadCounters, RefusalReason
+from cloverrouter.proxy.memory import DEFAULT_MEMORY_MB, MemoryBudget, message_budget_bytes
 from cloverrouter.proxy.observer import Observer
 from cloverrouter.proxy.validity import Gate, ParsedCall
 from cloverrouter.proxy.wake import pause_detector_of
@@ -30,18 +31,19 @@
         gate: Gate,
         max_connections: int,
         max_buffered_bytes: int = 4 * 1024 * 1024,
-        memory_limit_mb: float = float("inf"),
+        memory_limit_mb: float = DEFAULT_MEMORY_MB,
     ) -> None:
         """`max_buffered_bytes`: limit on the bytes of long bodies that are buffered at once;
-        `memory_limit_mb`: of the process, named in the log."""
+        `memory_limit_mb`: of the process."""
         self.gate = gate
         self.buffer_budget = BufferBudget(max_buffered_bytes)
+        self.memory = MemoryBudget(message_budget_bytes(memory_limit_mb))
         self.loop = asyncio.get_running_loop()
         self.errors = contained_errors_of(self.loop)
         self.pause_detector = pause_detector_of(self.loop)
         self.load = LoadCounters(
             lambda: (self.count, self._max_connections),
-            lambda: self.buffer_budget.reserved_bytes,
+            lambda: self.memory.held_bytes,
             memory_limit_mb,
         )
         self.pause_detector.on_pause.append(lambda gap: self.load.paused(gap.span_s, gap.cause.value))
@@ -148,8 +150,11 @@
         self.note_stage(connection)
 
     def note_stage(self, connection: ClientConnection) -> None:
-        """Update the eviction order after a possible change of the stage of `connection`."""
-        if connection in self._connections and not connection.refuses:
+        """Update the eviction order and the memory in use after a change of the state of `connection`."""
+        if connection not in self._connections:
+            return
+        connection.record_memory()
+        if not connection.refuses:
             self.eviction.update_stage(connection)
 
     def remove(self, connection: ClientConnection) -> None:
--- a/cloverrouter/proxy/load.py
+++ b/cloverrouter/proxy/load.py
@@ -37,6 +37,7 @@
     NO_CAPACITY = "no_capacity"  # the connection limit is reached, and each connection is busy
     EXPIRED = "expired"  # its deadline passed before it was read
     OVERLOADED = "overloaded"  # the event loop is behind its sockets
+    NO_MEMORY = "no_memory"  # it is large, and connections hold as much of messages as they may
 
 
 class LoadCounters:
--- a/cloverrouter/proxy/memory.py
+++ b/cloverrouter/proxy/memory.py
@@ -1,4 +1,8 @@
-"""The memory of this process, as its limit counts it."""
+"""The memory of this process, and the budget for the parts of messages that its connections hold.
+
+A connection may always hold a small message. What it holds beyond that comes out of one budget for all
+connections, so that hundreds of clients that send or read slowly can't take the process over its limit.
+"""
 
 from __future__ import annotations
 
@@ -19,3 +23,55 @@
 def peak_resident_mb() -> float:
     """Return the largest resident memory since the start of this process in MiB (getrusage(2))."""
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+DEFAULT_MEMORY_MB = 192.0  # where no limit is given
+BASE_MB = 24.0  # of the interpreter, the program, and idle connections
+MESSAGE_SHARE = 0.25  # of what remains: copies and the allocator's fragmentation multiply what is held
+MIN_BUDGET_BYTES = 1024 * 1024
+FREE_BYTES = 4096  # held by a connection at no charge
+SMALL_READ_BYTES = 2048  # read at once while the budget is exhausted
+
+
+def message_budget_bytes(memory_mb: float, processes: int = 1) -> int:
+    """Return how much one of `processes` that share a limit of `memory_mb` may hold of messages."""
+    available_mb = memory_mb / processes - BASE_MB
+    return max(MIN_BUDGET_BYTES, int(MESSAGE_SHARE * available_mb * 2**20))
+
+
+class MemoryBudget:
+    """What all connections hold of messages, against one limit."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.limit_bytes = limit_bytes
+        self.held_bytes = 0
+
+    @property
+    def exhausted(self) -> bool:
+        return self.held_bytes >= self.limit_bytes
+
+    def view(self, buffer: memoryview) -> memoryview:
+        """Return the part of a read buffer that may be filled now."""
+        return buffer[:SMALL_READ_BYTES] if self.held_bytes >= self.limit_bytes else buffer
+
+
+class MemoryAccount:
+    """What one connection holds of messages."""
+
+    __slots__ = ("_budget", "_charged_bytes")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self._budget = budget
+        self._charged_bytes = 0
+
+    def hold(self, size: int) -> None:
+        """Record that the connection holds `size` bytes now; 0 at its end."""
+        charged = size - FREE_BYTES if size > FREE_BYTES else 0
+        if charged != self._charged_bytes:
+            self._budget.held_bytes += charged - self._charged_bytes
+            self._charged_bytes = charged
+
+    def may_hold(self, size: int) -> bool:
+        """Whether the connection may hold `size` bytes: no more than before, or within the budget."""
+        growth = size - FREE_BYTES - self._charged_bytes
+        return growth <= 0 or self._budget.held_bytes + growth <= self._budget.limit_bytes
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -56,6 +56,10 @@
     def finish_body(self) -> None:
         """Mark the end of a complete body."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How much of the body waits for the host to read it."""
+
 
 class Upload:
     """The rest of a streamed request body, between the client's connection and an attempt.
@@ -66,12 +70,20 @@
     def __init__(self, length: int | None, pause: Callable[[], None], resume: Callable[[], None]) -> None:
         """`length`: of the whole body, if declared; `pause` and `resume`: stop and continue reading it."""
         self.length = length
+        self.first_part_bytes = 0  # of the body, which waits with the head for a connection to the host
         self.ended = False
         self.on_end: Callable[[], None] | None = None
         self._pause, self._resume = pause, resume
         self._sink: BodySink | None = None
         self._pending = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """How much of the body waits for an attempt, or for its host to read it."""
+        if self._sink is None:
+            return self.first_part_bytes + len(self._pending)
+        return self._sink.unsent_bytes
+
     # The client's side
 
     def feed(self, data: bytes) -> None:
--- a/cloverrouter/proxy/request_parser.py
+++ b/cloverrouter/proxy/request_parser.py
@@ -100,6 +100,16 @@
         slash = rest.find(b"/")
         return rest[slash:] if scheme.lower() in (b"http", b"https") and slash > 0 else b""
 
+    @property
+    def held_bytes(self) -> int:
+        """How much memory the part of a request takes that has been received."""
+        return len(self.body) + (self._head_bytes if self.in_head else 0)
+
+    def abandon(self, status: int) -> None:
+        """Drop the request that is being received, and treat it as invalid with `status`."""
+        self._reject(status)
+        self.body.clear()
+
     @property
     def missing_body_bytes(self) -> int:
         """How much of a body of declared length is still to come; 0 where that is not known."""
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -15,6 +15,7 @@
 
 from cloverrouter.interface import Outcome
 from cloverrouter.proxy.exchange import Exchange, encode_chunk, outcome_of
+from cloverrouter.proxy.memory import MemoryAccount
 from cloverrouter.proxy.messages import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -50,6 +51,7 @@
         self._reading_paused = False  # backpressure: the client reads too slowly
         self.last_progress_s = 0.0  # of the last byte, on the clock that excludes process pauses
         self._unread_ms: float | None = 0.0  # how long the last read data was in the socket; None: unknown
+        self._memory = MemoryAccount(pool.upstream.memory)
         self.idle_since = 0.0
         self.idle_before_use_s = 0.0  # idle time before its last use
         self._aborted = False  # closed by this process
@@ -59,6 +61,7 @@
         self._body = bytearray()
         self._body_bytes = 0  # of the body so far, including those already passed on
         self._in_head = True
+        self._is_served = False  # its status is 200
         self._framed = self._until_close = False
         self._length: int | None = None
         self._malformed = ""  # the reason why the answer is malformed, if it is
@@ -111,6 +114,10 @@
         transport.write(data if exchange.upload.length is not None else encode_chunk(data))
         return not transport.get_write_buffer_size()
 
+    @property
+    def unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def finish_body(self) -> None:
         exchange, transport = self._exchange, self._transport
         if exchange is not None and transport is not None and exchange.upload is not None:
@@ -121,6 +128,7 @@
     def abort(self) -> None:
         self._aborted = True
         self._exchange = None
+        self._memory.hold(0)
         self._pool.discard(self)
         if self._transport is not None:
             self._transport.abort()
@@ -129,7 +137,10 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         # Streamed answers are read in smaller pieces: each of many may have one piece waiting for its client.
-        return self._pool.upstream.buffer[: READ_BUFFER_BYTES if self._sink is None else STREAM_READ_BYTES]
+        upstream = self._pool.upstream
+        return upstream.memory.view(
+            upstream.buffer[: READ_BUFFER_BYTES if self._sink is None else STREAM_READ_BYTES]
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -174,11 +185,20 @@
             self._fail(self._malformed)
         elif not self._in_head and (self._sink is not None or self._exceeds_buffer):
             self._stream_body()
+        else:
+            self._buffer_body()
+
+    def _buffer_body(self) -> None:
+        """Keep a part of a short answer, or stream it at once if the memory for it is not there."""
+        if not self._memory.may_hold(len(self._body)) and self._begin_stream():
+            self._forward_body()
+        if self._exchange is not None:
+            self._memory.hold(len(self._body))
 
     @property
     def _exceeds_buffer(self) -> bool:
         """Whether the answer is known to be too long to be buffered as a whole."""
-        return max(len(self._body), self._length or 0) > STREAMING_THRESHOLD_BYTES
+        return max(self._body_bytes, self._length or 0) > STREAMING_THRESHOLD_BYTES
 
     def stream_answer(self) -> bool:
         """Start to stream an answer that may be long, before its length is known; return whether it is
@@ -225,6 +245,7 @@
         assert self._sink is not None and self._transport is not None
         piece = bytes(self._body)
         self._body.clear()
+        self._memory.hold(0)
         if piece and not self._sink.write(piece) and not self._reading_paused:
             self._reading_paused = True
             self._transport.pause_reading()
@@ -320,6 +341,7 @@
         else:
             self._pool.release(self)
         self._reset_response()  # frees the answer: an idle connection must not keep it
+        self._memory.hold(0)
         exchange.end(outcome_of(answer), answer)
 
     def _finish_sink(self, sink: AnswerSink, rest: bytes) -> None:
@@ -365,6 +387,7 @@
             return
         self._in_head = False
         assert self._parser is not None
+        self._is_served = self._parser.get_status_code() == 200
         if self._parser.get_http_version() not in ("1.1", "1.0"):
             self._malformed = self._malformed or "unknown version"
         # Without a length or chunked coding, a truncated body can't be told from a complete one, unless the
@@ -376,7 +399,8 @@
     def on_body(self, body: bytes) -> None:
         if not self._complete and not self._malformed:
             self._body_bytes += len(body)
-            self._body += body  # exceeds the size of a buffered body by one read at most
+            if self._is_served:  # nothing of another answer's body is used
+                self._body += body  # exceeds the size of a buffered body by one read at most
 
     def on_message_complete(self) -> None:
         if self._complete or self._malformed:
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -17,7 +17,7 @@
 from cloverrouter.proxy.containment import Periodic
 from cloverrouter.proxy.discovery import Watch
 from cloverrouter.proxy.frontend import Frontend
-from cloverrouter.proxy.memory import peak_resident_mb
+from cloverrouter.proxy.memory import message_budget_bytes, peak_resident_mb
 from cloverrouter.proxy.node import Node, max_timeout_ms
 from cloverrouter.proxy.observer import with_observer
 from cloverrouter.proxy.presence import Presence
@@ -152,6 +152,7 @@
             upstream.set_max_open(limits_for(processes).hosts)
             frontend.resize(limits_for(processes).clients)
             frontend.buffer_budget.limit_bytes = buffer_bytes // processes
+            frontend.memory.limit_bytes = message_budget_bytes(current.memory_mb, processes)
             apply_settings()
 
     upstream = Upstream(budget.hosts, current.conn_idle_ms, current.settings.limits.connect_timeout_ms)
@@ -209,6 +210,7 @@
     gate = Gate(node, classes, loop.time)
     gate.retry_after_ms = retry_after_ms(current.settings)
     frontend = Frontend(gate, budget.clients, buffer_bytes, current.memory_mb)
+    upstream.memory = frontend.memory
     if appliance is not None:
         await appliance.start(frontend)
     try:
@@ -230,7 +232,7 @@
         current.sockets,
         budget.clients,
         budget.hosts,
-        buffer_bytes // 1024,
+        frontend.memory.limit_bytes // 1024,
     )
     log.info("%s serves at %s:%d", current.name, *current.listen)
 
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -18,6 +18,7 @@
     is_local_resource_error,
 )
 from cloverrouter.proxy.exchange import Exchange, Host, OnBegin, OnEnd, encode_request
+from cloverrouter.proxy.memory import DEFAULT_MEMORY_MB, MemoryBudget, message_budget_bytes
 from cloverrouter.proxy.messages import Call
 from cloverrouter.proxy.server_connection import READ_BUFFER_BYTES, ServerConnection
 from cloverrouter.proxy.server_pool import ServerPool
@@ -45,6 +46,7 @@
         self._idle_s = idle_ms * IDLE_TIMEOUT_FRACTION / 1000
         self._connect_timeout_s = connect_timeout_ms / 1000
         self._pools: dict[Host, ServerPool] = {}
+        self.memory = MemoryBudget(message_budget_bytes(DEFAULT_MEMORY_MB))
         self.connects = 0  # total number of connects started
         self.idle_uses = IdleUseCounts()  # of the connections to all hosts
         self.on_signal: Callable[[str, ConnectionSignal], None] = lambda name, signal: None
@@ -98,7 +100,9 @@
         With `on_open` the attempt uses a new connection, and `on_open` is called once that is established.
         """
         exchange = Exchange(encode_request(call, timeout_ms), call.upload, on_end, on_begin, on_open)
-        if call.upload is None:
+        if call.upload is not None:
+            call.body = b""  # its only attempt has it
+        else:
             exchange.send_by_s = self.loop.time() + timeout_ms / 1000
         pool = self._pools.get(host)
         if pool is None:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -465,6 +465,7 @@
 
     class Sink:
         has_capacity = True
+        unsent_bytes = 0
 
         def write_body(self, data: bytes) -> bool:
             events.append(data)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -83,6 +83,8 @@
 class DiscardedBody:
     """A host that takes all of a body."""
 
+    unsent_bytes = 0
+
     def write_body(self, data: bytes) -> bool:
         return True
 
