Trailers and chunk extensions have a limit, in requests, answers and discovery's lists

Seen: memory that grows without end while one peer sends at full speed: 140 MB in two seconds with four hosts whose answers' trailer does not end; a client's trailer costs the same until its time is over (2.3 s), and other clients' answers took up to 0.28 s meanwhile (trial on loopback). Cause: the limit on heads ends with the head, the limit on bodies counts bytes of bodies; what comes behind a body, or between two chunks, belonged to neither, and the parser joins a line piece by piece. What comes without a byte of the body is limited to 16 KiB like a head (431; of an answer: spoilt). Discovery: 8 MiB in all. Class: a limit by part of a message that leaves out a part.

--- a/cloverrouter/proxy/discovery.py
+++ b/cloverrouter/proxy/discovery.py
@@ -26,6 +26,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+MAX_RECEIVED_BYTES = 2 * MAX_ANSWER_BYTES  # with head, chunk framing and trailers
 # An empty answer sooner than this comes from an agent that does not hold the call, and is not polled in a
 # tight loop.
 IMMEDIATE_ANSWER_S = 0.05
@@ -87,14 +88,15 @@
         reader, writer = streams
         host, port = self.address
         writer.write(f"GET {target} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-        response = _Response()
+        response, received_bytes = _Response(), 0
         while not response.complete:
             data = await reader.read(65536)
             if not data:
                 raise EOFError("connection closed before the end of the answer")
             self.response_started = True
             response.parser.feed_data(data)
-            if len(response.body) > MAX_ANSWER_BYTES:
+            received_bytes += len(data)
+            if len(response.body) > MAX_ANSWER_BYTES or received_bytes > MAX_RECEIVED_BYTES:
                 raise DiscoveryError("answer exceeds the size limit")
         if not response.keep_alive and self._streams is streams:
             self.disconnect()
--- a/cloverrouter/proxy/request_parser.py
+++ b/cloverrouter/proxy/request_parser.py
@@ -42,6 +42,7 @@
         self.in_head = True
         self.body_size = 0  # bytes of the body so far, including those already forwarded
         self._head_bytes = 0
+        self._overhead_bytes = 0  # received since the last byte of the body
 
     def close(self) -> None:
         """Break a reference cycle that only the garbage collector would free."""
@@ -55,7 +56,7 @@
         if self._parser is None:
             self._parser = httptools.HttpRequestParser(self)
         self._completed, self._receiver = False, receiver
-        well_formed = True
+        well_formed, body_size = True, self.body_size
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -67,6 +68,12 @@
             self._head_bytes += len(data)  # the parser reports nothing of a header line that never ends
             if self._head_bytes > MAX_HEAD_BYTES:
                 self._reject(431)
+        elif self.begun and self.body_size == body_size:
+            self._overhead_bytes += len(data)  # chunk extensions, trailers
+            if self._overhead_bytes > MAX_HEAD_BYTES:
+                self._reject(431)
+        else:
+            self._overhead_bytes = 0
         return well_formed
 
     def _reject(self, status: int) -> None:
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -33,6 +33,8 @@
 READ_BUFFER_BYTES = 64 * 1024
 STREAM_READ_BYTES = 32 * 1024
 MAX_RESPONSE_BYTES = 2 * MAX_BODY_BYTES  # of one answer, with heads and chunk framing
+# A read may hold a whole head, or the end of a body, beside the part that has no byte of a body.
+MAX_OVERHEAD_BYTES = MAX_HEAD_BYTES + READ_BUFFER_BYTES
 STALL_TIMEOUT_S = 10.0  # a streamed body without progress for this time is aborted
 log = logging.getLogger(__name__)
 
@@ -59,6 +61,7 @@
 
     def _reset_response(self) -> None:
         self._body = bytearray()
+        self._overhead_bytes = 0  # received since the last byte of the body
         self._body_bytes = 0  # of the body so far, including those already passed on
         self._in_head = True
         self._is_served = False  # its status is 200
@@ -163,6 +166,7 @@
         else:
             age_s = data_age_s(self._sock)
             self._unread_ms = None if age_s is None else age_s * 1000
+        body_bytes = self._body_bytes
         try:
             self._parser.feed_data(self._pool.upstream.buffer[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -174,6 +178,9 @@
             MAX_HEAD_BYTES if self._in_head else MAX_RESPONSE_BYTES
         ):
             self._malformed = self._malformed or "response too large"
+        self._overhead_bytes = 0 if self._body_bytes > body_bytes else self._overhead_bytes + nbytes
+        if not self._in_head and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._malformed = self._malformed or "chunk extensions or trailers are too long"
         self._process_read()
 
     def _process_read(self) -> None:
