A connection whose requests are answered at once leaves the event loop to the others

Cause: each answer scheduled one more pass over its connection, and each pass answered all that could be answered at once, so that passes multiplied: 339 of 400 health checks were answered in one step of the loop, and thousands of passes were scheduled (6,096 at once in a trace of allocations). A pass is scheduled once and starts four calls at most. Class: work scheduled by event instead of by state.

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -35,6 +35,7 @@
 
 READ_BUFFER_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 4 * 1024  # unsent bytes beyond which no call is started and a streamed answer waits
+MAX_CALLS_PER_STEP = 4  # started for one connection in a step of the event loop
 CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
@@ -115,6 +116,7 @@
         # Since when input may have waited unread, where that exceeds the loop's own delay; 0: it has not.
         self.delayed_since_s = frontend.listener.delayed_since_s
         self._opened_s, self._nothing_read = frontend.loop.time(), True
+        self._proceeding = False  # `_proceed` is called in the next step of the loop
         self._just_completed: list[ClientCall] = []  # calls whose last byte came in the current read
         self.body_progress_s = self.state_since_s  # when bytes of the body were last received
 
@@ -212,11 +214,18 @@
             return
         holds = self._holds_input or self._deferred_error != 0
         if self._unparsed and not holds:
-            self._frontend.loop.call_soon(self._proceed)
+            self._proceed_soon()
         self._set_reading(not holds and not self._unparsed)
 
+    def _proceed_soon(self) -> None:
+        """Call `_proceed` in the next step of the loop, once."""
+        if not self._proceeding:
+            self._proceeding = True
+            self._frontend.loop.call_soon(self._proceed)
+
     def _proceed(self) -> None:
         """Go on after an answer: with the next call, the input that had to wait, or a deferred error."""
+        self._proceeding = False
         if self._ended or self._transport is None:
             return
         self._next()
@@ -435,9 +444,11 @@
         """Pass the next queued call to the handler, if none is open.
 
         Not done in the parser's callbacks: the bytes that follow a request may show that its length was
-        wrong.
+        wrong. Calls that are answered at once are limited, so that other connections get their turn.
         """
-        while self._open_call is None and self._queued and not self._writing_paused and not self._ended:
+        for _ in range(MAX_CALLS_PER_STEP):
+            if self._open_call is not None or not self._queued or self._writing_paused or self._ended:
+                return
             call, reason = self._queued[0], None
             if call.target != HEALTH:
                 reason = self._frontend.reason_to_refuse(self, call)
@@ -454,6 +465,8 @@
                 self._refuse(call, reason)
             else:
                 self._gate.handler.call_received(call)
+        if self._open_call is None and self._queued:
+            self._proceed_soon()
 
     def _refuse(self, call: ClientCall, reason: RefusalReason) -> None:
         """Refuse a request before it reaches the balancer."""
@@ -513,7 +526,7 @@
         elif close:
             self._end_sending()
         elif self._owes_answers or self._reading_paused:
-            self._frontend.loop.call_soon(self._proceed)
+            self._proceed_soon()
         self._frontend.note_stage(self)
 
     def _answer_early(self, status: int, headers: bytes) -> None:
