--- a/tests/faults/test_slow_long_messages.py
+++ b/tests/faults/test_slow_long_messages.py
@@ -6,9 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from itertools import product
 from typing import Any
 
@@ -118,3 +119,44 @@
             assert sum(len(host.seen) for host in hosts) == len(cells)
 
     asyncio.run(scene())
+
+
+BODY_BYTES = 6_000_000  # as much as the kernel takes from a client at once
+SLOW_READ_BYTES, SLOW_READ_PAUSE_S = 50_000, 0.05
+
+
+async def read_body_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Read a request in small pieces with pauses, and answer it at its end."""
+    with suppress(OSError, asyncio.IncompleteReadError):
+        head = await reader.readuntil(b"\r\n\r\n")
+        missing = int(head.lower().partition(b"content-length:")[2].split()[0])
+        while missing:
+            data = await reader.read(min(missing, SLOW_READ_BYTES))
+            if not data:
+                return
+            missing -= len(data)
+            await asyncio.sleep(SLOW_READ_PAUSE_S)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+    writer.close()
+
+
+# Guards against: the answer to a large request comes seconds after its time where its host reads it slowly.
+def test_large_request_that_its_host_reads_slowly_is_answered_in_its_time() -> None:
+    async def scene() -> None:
+        # A small receive buffer: what the host does not read stays at the proxy and at the client.
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        host = Host("h0")
+        host.server = await asyncio.start_server(read_body_slowly, sock=listener, limit=65536)
+        host.port = listener.getsockname()[1]
+        async with running(await Discovery().start(), [host], settings=slow_settings()) as proxy:
+            client = await proxy.client()
+            client.writer.transport.set_write_buffer_limits(high=0)
+            client.send("/unsafe", body=bytes(BODY_BYTES), timeout_ms=TIMEOUT_MS)
+            await client.writer.drain()  # the last byte is written
+            written_s = time.monotonic()
+            message = await client.read()
+            assert message.status in (200, 502, 503)
+            assert time.monotonic() - written_s < TIMEOUT_MS / 1000 + GRACE_S
+
+    asyncio.run(scene())
