A large request's time counts from when its client may have written the last byte

Seen by clients: the final answer to a large request seconds after its time, where the host reads the body slowly. Cause: while a host is slow, reading from the client is paused; the kernel goes on taking its bytes, 6 MB at once on this machine, and the client's time counts from the last of them. The proxy counted from when it read that byte: 'an upload's time does not count while its host is slow' (client_connection._set_reading). While input of a streamed body may lie unread, and the rest fits into the client's send buffer (tcp_wmem, 4 MiB), its last byte may have been written: the request is answered when its time is over from then, as refused, since its host does not have the whole of it. A client that writes slowly to a host that reads is not concerned (test). Class: a time taken at the read instead of at the write.

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -26,7 +26,7 @@
 )
 from cloverrouter.proxy.overload import MAX_DELAY_S
 from cloverrouter.proxy.request_parser import RequestParser
-from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset
+from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset, unread_bytes
 from cloverrouter.proxy.validity import HEALTH
 from cloverrouter.proxy.wake import data_age_s
 
@@ -36,6 +36,7 @@
 READ_BUFFER_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 4 * 1024  # unsent bytes beyond which no call is started and a streamed answer waits
 MAX_CALLS_PER_STEP = 4  # started for one connection in a step of the event loop
+MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # of a client's socket (tcp(7), tcp_wmem)
 CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
@@ -106,6 +107,8 @@
         self._finished_uploads: list[tuple[ClientCall, bytes]] = []
         self._stream: StreamedAnswer | None = None  # the answer that is being streamed
         self._upload_paused = False  # backpressure: the received part of a body has not been forwarded yet
+        # Since when the client may have written the last byte of that body, unread; 0: it has not.
+        self._upload_written_since_s = 0.0
         self._reading_paused = False  # for that reason, or since enough calls wait
         self._unread_since_s = 0.0  # since when input may be unread because calls wait; 0: it is not
         self._resumed_s = 0.0  # when reading was last resumed
@@ -294,6 +297,7 @@
                 done.upload.feed(rest)
             done.upload.end()
             self._upload_paused = False  # its host may still be slow, but no more input belongs to it
+            self._upload_written_since_s = 0.0
 
     def _forward_body(self) -> None:
         """Forward or buffer received body bytes. Not done in the parser's callbacks, as in `_next`."""
@@ -305,6 +309,7 @@
             piece = bytes(self._parser.body)
             self._parser.body.clear()
             call.upload.feed(piece)
+            self._record_upload_backlog()
             return
         length = self._parser.headers.get(b"content-length")
         declared = int(length) if length is not None else None
@@ -332,6 +337,24 @@
         if not self._upload_paused and self._transport is not None and not self._ended:
             self._upload_paused, self.body_progress_s = True, self._frontend.active_time_s()
             self._set_reading(False)
+            self._record_upload_backlog()
+
+    def _record_upload_backlog(self) -> None:
+        """Note since when the rest of the body that is being streamed may have been written by its client.
+
+        The client's time counts from its last byte, which the kernel takes while this process does not read.
+        """
+        if self._uploading is None or not (self._upload_paused or has_unread_data(self._sock)):
+            self._upload_written_since_s = 0.0  # all that has been written has been read
+        elif not self._upload_written_since_s and self._rest_may_be_written(self._uploading):
+            self._upload_written_since_s = self._frontend.loop.time()
+
+    def _rest_may_be_written(self, call: ClientCall) -> bool:
+        """Whether the kernel can hold the rest of a body that is being streamed."""
+        if call.upload is None or call.upload.length is None:
+            return True
+        missing_bytes = call.upload.length - self._parser.body_size - len(self._unparsed)
+        return missing_bytes <= unread_bytes(self._sock) + MAX_SEND_BUFFER_BYTES
 
     def _resume_upload(self) -> None:
         if self._upload_paused and self._transport is not None:
@@ -409,7 +432,7 @@
     def request_received(self) -> None:
         coming, self._uploading = self._uploading, None
         if coming is not None:
-            coming.arrived_ms = self._frontend.loop.time() * 1000
+            coming.arrived_ms = (self._upload_written_since_s or self._frontend.loop.time()) * 1000
             self._finished_uploads.append((coming, bytes(self._parser.body)))
             self._just_completed.append(coming)
         else:
@@ -796,6 +819,11 @@
         if self._reading_paused and peer_has_closed(self._sock):
             self.end("left")  # not reported while reading is paused; the request would still be forwarded
             return
+        self._record_upload_backlog()
+        if self._uploading is not None and self._upload_written_since_s:
+            self._gate.handler.upload_held_back(self._uploading, self._upload_written_since_s)
+            if self._ended:
+                return
         deferred_s = now_s - self._deferred_since_s if self._deferred_error else 0.0
         if deferred_s > REQUEST_TIMEOUT_S and self._stream is None:
             self._reject_now(self._deferred_error)
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -426,6 +426,19 @@
             self._start_timeout(attempt, self._max_timeout_ms)
         self.dispatch(RequestCompleted(request.id, request.deadline_ms))
 
+    def upload_held_back(self, call: Call, since_s: float) -> None:
+        """Answer a call if its time is over, counted from `since_s`, before its host has read its body."""
+        request = self._by_call.get(call)
+        timeout_ms = self._max_timeout_ms if call.timeout_ms is None else call.timeout_ms
+        if request is None or self.now_ms() < since_s * 1000 + timeout_ms:
+            return
+        log.warning(
+            "upload_overdue request_id=%s servers=%s",
+            call.request_id.decode("latin-1"),
+            ",".join(attempt.host[0] for attempt in request.attempts.values()),
+        )
+        self._answer_now(request)
+
     def _start_timeout(self, attempt: OpenAttempt, timeout_ms: float) -> None:
         deadline_ms = attempt.request.deadline_ms
         if deadline_ms is not None:
--- a/cloverrouter/proxy/sockets.py
+++ b/cloverrouter/proxy/sockets.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import fcntl
 import select
 import socket
 import sys
@@ -15,6 +16,7 @@
 
 # `struct linger`, two C ints: l_onoff = 1, l_linger = 0. Built without the module `struct` to save memory.
 LINGER_ZERO = (1).to_bytes(4, sys.byteorder) + bytes(4)
+FIONREAD = 0x541B  # of ioctl(2), on Linux (asm-generic/ioctls.h)
 
 # Errors of accept(2) that concern only the connection to be accepted: it has failed, and the next one should
 # be tried (accept(2), "Error handling"). EPERM: firewall rules forbid the connection.
@@ -62,6 +64,15 @@
         sock.close()
 
 
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes wait to be read; 0 where the system does not tell."""
+    try:
+        count = fcntl.ioctl(sock, FIONREAD, bytes(4))
+    except (OSError, ValueError):  # ValueError: the socket is closed
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def has_unread_data(sock: socket.socket) -> bool:
     """Whether unread data, end of stream or an error is pending on the socket."""
     try:
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -42,6 +42,9 @@
 
     def disconnected(self, call: Call) -> None: ...
 
+    def upload_held_back(self, call: Call, since_s: float) -> None:
+        """The client may have written the last byte of a body that is being streamed at `since_s`."""
+
     def is_open(self, request_id: bytes) -> bool: ...
 
     def ready(self) -> bool: ...
--- a/tests/faults/test_slow_long_messages.py
+++ b/tests/faults/test_slow_long_messages.py
@@ -21,6 +21,7 @@
     Proxy,
     Respond,
     Seen,
+    answer_ok,
     running,
 )
 
@@ -160,3 +161,20 @@
             assert time.monotonic() - written_s < TIMEOUT_MS / 1000 + GRACE_S
 
     asyncio.run(scene())
+
+
+# Guards against: a client that writes a large request slowly is timed before it has written the last byte.
+def test_large_request_that_its_client_writes_slowly_is_served() -> None:
+    async def scene() -> None:
+        async with proxy_with(answer_ok) as (proxy, hosts):
+            client = await proxy.client()
+            size, pieces = 400_000, 20
+            head = f"X-Request-ID: slow\r\nX-Timeout-Ms: {TIMEOUT_MS}\r\nContent-Length: {size}\r\n\r\n"
+            client.writer.write(b"POST /unsafe HTTP/1.1\r\nHost: b\r\n" + head.encode())
+            for _ in range(pieces):
+                client.writer.write(bytes(size // pieces))
+                await asyncio.sleep(0.1)
+            assert (await client.read()).status == 200
+            assert len(hosts[0].seen[-1].message.body) == size
+
+    asyncio.run(scene())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -374,6 +374,9 @@
     def disconnected(self, call: Call) -> None:
         self.calls.remove(call)
 
+    def upload_held_back(self, call: Any, since_s: float) -> None:
+        pass
+
     def is_open(self, request_id: bytes) -> bool:
         return any(call.request_id == request_id for call in self.calls)
 
--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -42,6 +42,9 @@
     def ready(self) -> bool:
         return True
 
+    def upload_held_back(self, call: Any, since_s: float) -> None:
+        pass
+
     def is_open(self, request_id: bytes) -> bool:
         return False
 
