No attempt begins for a client whose close may lie behind bytes that were not read

Seen: a keyed request was retried 0.75 s after its client had closed the connection, behind 400 kB of further requests. Cause: before each attempt the kernel is asked whether the client has closed, but a FIN lies behind all that the client has sent, and does not arrive while the receive buffer is full, as it is once reading is paused. Evidence: behind 40 kB the close is seen at once, behind 400 kB not until the next answer, at which the closed socket resets. Now an attempt begins only if less than 32 kB lie unread, or the client was known to be there within 0.08 s (the last read that left nothing, or an answer that went out without a reset); otherwise the request is answered: refused where it never ran. A client that sends that much ahead gets refusals only where a request has waited. Both carriers ask again once a connection is up. Class: the absence of a sign taken for a sign.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -268,7 +268,9 @@
             if self.closed or self.draining:
                 exchange.connection = None
                 exchange.end(outcome_of(AttemptEnd.NOT_UP, False))
-            elif self._loop.time() >= exchange.send_deadline_s or exchange.call.is_disconnected():
+            elif self._loop.time() >= exchange.send_deadline_s or (
+                exchange.call.is_disconnected() or exchange.call.may_be_disconnected()
+            ):
                 # After a process pause this runs before a timeout that is due; and the client may have
                 # disconnected meanwhile.
                 exchange.connection = None
--- a/cloverrouter/proxy/client_call.py
+++ b/cloverrouter/proxy/client_call.py
@@ -35,5 +35,8 @@
     def is_disconnected(self) -> bool:
         return self._client.check_disconnected(self)
 
+    def may_be_disconnected(self) -> bool:
+        return self._client.may_be_disconnected()
+
     def begin(self, answer: Answer) -> AnswerSink | None:
         return self._client.begin_stream(self, answer)
--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -37,6 +37,8 @@
 WRITE_BUFFER_BYTES = 4 * 1024  # unsent bytes beyond which no call is started and a streamed answer waits
 MAX_CALLS_PER_STEP = 4  # started for one connection in a step of the event loop
 MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # of a client's socket (tcp(7), tcp_wmem)
+MAX_UNSEEN_CLOSE_S = 0.08  # an attempt must not begin 0.1 s after its client has closed the connection
+MAX_VISIBLE_BYTES = 32 * 1024  # unread, with which the rest of what a client has sent still arrives
 CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
@@ -119,6 +121,8 @@
         # Since when input may have waited unread, where that exceeds the loop's own delay; 0: it has not.
         self.delayed_since_s = frontend.listener.delayed_since_s
         self._opened_s, self._nothing_read = frontend.loop.time(), True
+        self._connected_s = self._opened_s  # when the client was last known not to have closed the connection
+        self._drained = True  # the last read has left nothing in the receive buffer
         self._proceeding = False  # `_proceed` is called in the next step of the loop
         self._just_completed: list[ClientCall] = []  # calls whose last byte came in the current read
         self.body_progress_s = self.state_since_s  # when bytes of the body were last received
@@ -259,6 +263,10 @@
         """Note when the current input was read, and since when it may have waited unread, if it may."""
         now_s = self._frontend.loop.time()
         pause_detector = self._frontend.pause_detector
+        drained = nbytes < self._read_limit
+        if drained or self._drained:
+            self._connected_s = now_s
+        self._drained = drained
         if self._unread_since_s:
             if now_s - max(self._read_s, self._resumed_s) > FLOW_CONTROL_GAP_S:
                 self._unread_since_s = 0.0
@@ -383,6 +391,14 @@
             self._withdraw_calls()
         return self._open_call is not call
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have closed the connection without this process seeing it.
+
+        Its FIN lies behind all that it has sent, and does not arrive while the receive buffer is full.
+        """
+        since_s = self._frontend.loop.time() - self._connected_s
+        return since_s > MAX_UNSEEN_CLOSE_S and unread_bytes(self._sock) > MAX_VISIBLE_BYTES
+
     def begin_direct(self, transport: asyncio.Transport) -> None:
         """Use `transport` until the event loop provides one (`connection_made`) or the connection ends."""
         self._transport, self._direct = transport, True
@@ -540,6 +556,8 @@
         """Close the connection or start the next call, after the open call's answer has been written."""
         self._open_call = None
         self._release_buffer()
+        if not self.unflushed:
+            self._connected_s = self._frontend.loop.time()  # a closed socket answers with RST
         self.state_since_s = self._frontend.active_time_s()
         assert self._transport is not None
         if close and self._frontend.has_many_idle and not self.unflushed and not has_unread_data(self._sock):
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -158,6 +158,10 @@
         disconnect is detected here, `Handler.disconnected` has been called before this returns."""
         return False
 
+    def may_be_disconnected(self) -> bool:
+        """Return whether the client may have disconnected for a while without this process seeing it."""
+        return False
+
     def begin(self, answer: Answer) -> AnswerSink | None:
         """Start streaming an answer; None if the client can't receive it."""
         return None
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -493,6 +493,9 @@
             self.dispatch(AttemptEnded(action.request_id, 0, Outcome.NOT_SENT, 0.0, answered=True))
             return
         number, request.attempt_count = request.attempt_count, request.attempt_count + 1
+        if not request.answered and request.call.may_be_disconnected():
+            self._record("not_sent", request.call.request_id, "its client may have left")
+            self._answer_now(request)
         timeout_ms = action.timeout_ms or float("inf")
         if request.deadline_ms is not None:
             # Computed here: the process may have been paused since the balancer's decision.
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -192,7 +192,9 @@
             exchange.on_open()
         if exchange.on_end is None:
             pool.release(connection)  # abandoned in the meantime: it must not be sent any more
-        elif self.loop.time() >= exchange.send_by_s or (call is not None and call.is_disconnected()):
+        elif self.loop.time() >= exchange.send_by_s or (
+            call is not None and (call.is_disconnected() or call.may_be_disconnected())
+        ):
             # After a process pause the connect may complete before an overdue timeout is handled; and the
             # client may have disconnected during the connect.
             pool.release(connection)
--- a/tests/faults/test_left_clients.py
+++ b/tests/faults/test_left_clients.py
@@ -1,4 +1,4 @@
-"""Clients that leave: nothing is sent on for them, and their requests do not run twice when they come again."""
+"""Clients that leave: nothing is sent on for them, and what they asked does not run twice."""
 
 from __future__ import annotations
 
