An id that may have run does not run again, here or at the other process of an upgrade

Seen: an unsafe and a keyed id ran twice when they came again after their client had left, or at the other process of an upgrade, also while it was open at the first. Cause: ids were known only while their request was open, in one process; when a client leaves, its attempts are withdrawn, but a host may go on with them. An id that provably never ran is taken out again. Processes that can't share (no TMPDIR, no inherited listener) each know their own. Class: a claim of a process that outlives what it is kept with.

--- a/cloverrouter/lab/simcall.py
+++ b/cloverrouter/lab/simcall.py
@@ -29,6 +29,10 @@
         self.timeout_ms = ask.timeout_s * 1000
         self.is_retry = ask.attempt > 0
 
+    @property
+    def is_safe(self) -> bool:
+        return True  # no simulated client uses an id twice
+
     def is_disconnected(self) -> bool:
         """Whether the client has disconnected. The node is notified if so, as it is by a real socket."""
         if self.ask.finished and self.proxy.node is not None:
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -153,6 +153,11 @@
     is_delayed = False  # read late, after a process pause or a backlog: `arrived_ms` is an estimate
     upload: Upload | None = None  # set where `body` holds only the first part of the body
 
+    @property
+    def is_safe(self) -> bool:
+        """Whether its class is safe to repeat."""
+        return self.method == b"GET"
+
     def is_disconnected(self) -> bool:
         """Return whether the client has disconnected. To be called right before an attempt starts; if the
         disconnect is detected here, `Handler.disconnected` has been called before this returns."""
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -55,6 +55,7 @@
 from cloverrouter.proxy.messages import Answer, AnswerSink, Call
 from cloverrouter.proxy.observer import AttemptResult, Observer, RequestResult
 from cloverrouter.proxy.open_requests import OpenAttempt, OpenRequest
+from cloverrouter.proxy.run_ids import RunIds
 from cloverrouter.proxy.wake import pause_detector_of
 from cloverrouter.view import balancer_view
 
@@ -103,6 +104,7 @@
         self._pending_after_pause: dict[Call, None] = {}
         self._streaming: dict[Call, OpenAttempt] = {}  # answers that are being streamed
         self._ids: set[bytes] = set()  # client request ids of the open requests
+        self.run_ids = RunIds()  # of those that have been sent, and must not run again
         self._last_id = 0
         self._events: deque[Event] = deque()
         self._handling = False
@@ -330,6 +332,10 @@
         """Whether a request with this id waits for its answer or has an attempt in flight."""
         return request_id in self._ids
 
+    def may_have_run(self, request_id: bytes) -> bool:
+        """Whether a request with this id may have run, here or at another process of this proxy."""
+        return self.run_ids.contains(request_id)
+
     def call_received(self, call: Call) -> None:
         """Accept or refuse a call, after a short wait if it arrived during a process pause."""
         deadline_ms = self._deadline_ms(call) if call.is_delayed and call.upload is None else None
@@ -483,6 +489,8 @@
     def _remove_if_finished(self, request: OpenRequest) -> None:
         if request.answered and not request.attempts and self._requests.pop(request.id, None) is not None:
             self._ids.discard(request.call.request_id)
+            if request.registered and not request.may_have_run:
+                self.run_ids.discard(request.call.request_id)
 
     # Attempts
 
@@ -496,6 +504,11 @@
         if not request.answered and request.call.may_be_disconnected():
             self._record("not_sent", request.call.request_id, "its client may have left")
             self._answer_now(request)
+        if not request.answered and not self._register(request):
+            self._record("not_sent", request.call.request_id, "sent by another process")
+            self._claim_unanswered(request.id)
+            self._reply(request, request.call.failed)
+            self._observe_end(request, RequestResult.FAILED, None)
         timeout_ms = action.timeout_ms or float("inf")
         if request.deadline_ms is not None:
             # Computed here: the process may have been paused since the balancer's decision.
@@ -523,6 +536,13 @@
         if action.begin_within_ms < timeout_ms and not attempt.exchange.written:
             self._loop.call_later(action.begin_within_ms / 1000, self._give_up_if_unsent, attempt)
 
+    def _register(self, request: OpenRequest) -> bool:
+        """Note that a request is sent that must not run twice; False if another process has sent it."""
+        if request.registered or request.call.is_safe:
+            return True
+        request.registered = self.run_ids.add(request.call.request_id)
+        return request.registered
+
     def report_signal(self, name: str, signal: ConnectionSignal) -> None:
         """Report a connection signal of a listed host to the balancer."""
         if name in self._addresses:
@@ -617,7 +637,7 @@
             call = request.call
             self._reply(request, lambda: call.served(answer))
             self._observe_end(request, RequestResult.SERVED, None)
-        if outcome in MAY_HAVE_RUN:
+        if outcome in MAY_HAVE_RUN or outcome is Outcome.OK:
             request.may_have_run = True
         if self.failed and not request.answered:
             self._finish_without_balancer(request)
--- a/cloverrouter/proxy/open_requests.py
+++ b/cloverrouter/proxy/open_requests.py
@@ -60,6 +60,7 @@
         "deadline_ms",
         "id",
         "may_have_run",
+        "registered",
     )
 
     def __init__(self, request_id: int, call: Call, deadline_ms: float | None) -> None:
@@ -69,5 +70,6 @@
         self.attempt_count = 0
         self.attempts: dict[int, OpenAttempt] = {}
         self.answered = False  # or the client no longer waits for an answer
-        self.may_have_run = False  # a fully written attempt ended without an answer
+        self.may_have_run = False  # a fully written attempt ended, not as one that never ran
+        self.registered = False  # its id is in `Node.run_ids`
         self.attempt_results: list[AttemptResult] | None = None  # of its ended attempts, for an observer
--- a/cloverrouter/proxy/presence.py
+++ b/cloverrouter/proxy/presence.py
@@ -18,9 +18,9 @@
     """This process's entry among the proxy's processes; raises OSError if the directory can't be used."""
 
     def __init__(self, directory: str) -> None:
-        lock_directory = os.path.join(directory, DIRECTORY_NAME)
-        os.makedirs(lock_directory, mode=0o700, exist_ok=True)
-        self._paths = [os.path.join(lock_directory, str(i)) for i in range(MAX_PROCESSES)]
+        self.directory = os.path.join(directory, DIRECTORY_NAME)
+        os.makedirs(self.directory, mode=0o700, exist_ok=True)
+        self._paths = [os.path.join(self.directory, str(i)) for i in range(MAX_PROCESSES)]
         self._own_number: int | None = None
         self._descriptor: int | None = None
         self.count()
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -163,6 +163,8 @@
     )
     cleanup.callback(watch.stop)
     node = Node(current.settings, current.seed, upstream, watch.start, crash)
+    if presence is not None:
+        node.run_ids.share(presence.directory)
     upstream.on_signal = node.report_signal
     appliance = None if site is None else compose.Appliance(site, current, node)
     handle_list = node.listed if appliance is None else appliance.listed
--- a/cloverrouter/proxy/validity.py
+++ b/cloverrouter/proxy/validity.py
@@ -47,6 +47,8 @@
 
     def is_open(self, request_id: bytes) -> bool: ...
 
+    def may_have_run(self, request_id: bytes) -> bool: ...
+
     def ready(self) -> bool: ...
 
 
@@ -197,7 +199,7 @@
             call.classes, status = self._previous, 0
         # Forwarding a duplicate id could execute a request twice, whichever protocol the first came by.
         # Queued calls count as well: each would be passed to the handler in its turn.
-        return status or (409 if self._is_open(call.request_id) else 0)
+        return status or (409 if self._is_duplicate(call) else 0)
 
     def revalidate(self, call: ParsedCall) -> bool:
         """Return whether a queued call is still valid by the current or the previous classes.
@@ -208,5 +210,8 @@
         call.fits_previous_classes = call.classes is not self.classes
         return not call.fits_previous_classes or call.classes is self._previous
 
-    def _is_open(self, request_id: bytes) -> bool:
-        return request_id in self.queued_ids or self.handler.is_open(request_id)
+    def _is_duplicate(self, call: ParsedCall) -> bool:
+        """Return whether a request with the same id is open, or may have run already."""
+        if call.request_id in self.queued_ids or self.handler.is_open(call.request_id):
+            return True
+        return not call.is_safe and self.handler.may_have_run(call.request_id)
--- a/tests/faults/test_left_clients.py
+++ b/tests/faults/test_left_clients.py
@@ -79,12 +79,12 @@
     asyncio.run(scene())
 
 
-async def ask_again(proxy: Proxy, data: bytes) -> int:
+async def ask_again(proxy: Proxy, data: bytes, within_s: float = SETTLE_S) -> int:
     """Send a request on a new connection; return the status, or 0 if no answer comes soon."""
     reader, writer = await asyncio.open_connection(*proxy.endpoint)
     writer.write(data)
     try:
-        async with asyncio.timeout(SETTLE_S):
+        async with asyncio.timeout(within_s):
             return int((await reader.readline()).split()[1])
     except TimeoutError:
         return 0
@@ -117,6 +117,24 @@
     asyncio.run(scene())
 
 
+# Guards against: a request that never ran is taken for a repetition, and its client gets no service.
+def test_id_that_never_ran_may_come_again() -> None:
+    async def reject(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def scene() -> None:
+        host = await Host("h0", reject).start()
+        async with running(await Discovery().start(), [host]) as proxy:
+            assert await ask_again(proxy, request("r0")) == 503
+            host.respond = answer_ok
+            status = 503  # until the proxy tries the host that rejected again
+            while status == 503:
+                status = await ask_again(proxy, request("r0"), within_s=10.0)
+            assert status == 200
+
+    asyncio.run(scene())
+
+
 # Guards against: an id that ran at one process of an upgrade runs again at the other one.
 def test_id_that_comes_again_at_the_other_process_of_an_upgrade_does_not_run_twice() -> None:
     async def scene() -> None:
--- a/tests/http3/test_front.py
+++ b/tests/http3/test_front.py
@@ -54,6 +54,9 @@
     def upload_held_back(self, call: Any, since_s: float) -> None:
         pass
 
+    def may_have_run(self, request_id: bytes) -> bool:
+        return False
+
     def is_open(self, request_id: bytes) -> bool:
         open_ids = [call.request_id for call in self.calls if call not in self.disconnected_calls]
         return self.answer is None and request_id in open_ids
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -377,6 +377,9 @@
     def upload_held_back(self, call: Any, since_s: float) -> None:
         pass
 
+    def may_have_run(self, request_id: bytes) -> bool:
+        return False
+
     def is_open(self, request_id: bytes) -> bool:
         return any(call.request_id == request_id for call in self.calls)
 
--- a/tests/test_wake.py
+++ b/tests/test_wake.py
@@ -214,6 +214,7 @@
         assert [end.outcome for end in ends] == [Outcome.CANCELLED]
         assert any(isinstance(event, ProcessPaused) for event in events)
         call = make_call(loop, 300)  # one that expires without a pause is a timeout
+        call.request_id = b"another request"
         node.call_received(call)
         await until(lambda: call.given)
         ends = [event for event in events if isinstance(event, AttemptEnded)]
--- a/tests/test_waking_front.py
+++ b/tests/test_waking_front.py
@@ -45,6 +45,9 @@
     def upload_held_back(self, call: Any, since_s: float) -> None:
         pass
 
+    def may_have_run(self, request_id: bytes) -> bool:
+        return False
+
     def is_open(self, request_id: bytes) -> bool:
         return False
 
