Stand-in clients number their requests; two may not share the address of an object

Seen: ids of different requests were alike where a client object got the address of one that was collected (a flaky test of upgrades was traced to it before); with ids that may not run again such a request got 409, and the test of an address that another server takes over failed 4 of 10 times. Cause: id(self) in the name. Now the process's id and a counter.

--- a/cloverrouter/lab/peers.py
+++ b/cloverrouter/lab/peers.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import os
 import tempfile
 import time
 from collections import Counter
@@ -20,6 +22,7 @@
 from cloverrouter.lab.process import ProxyProcess, own_address
 from cloverrouter.proxy.wake import data_age_s
 
+client_numbers = itertools.count(1)  # of all protocols: each request of a process has an id of its own
 Respond = Callable[["Seen", asyncio.StreamWriter], Awaitable[None]]
 
 SETTINGS: dict[str, Any] = {
@@ -227,12 +230,13 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.number = next(client_numbers)
         self.count = 0
 
     @property
     def next_id(self) -> str:
         """The id that the next request will have."""
-        return f"{id(self):x}-{self.count + 1}"
+        return f"{os.getpid()}-{self.number}-{self.count + 1}"
 
     def send(self, target: str, body: bytes = b"x", timeout_ms: object = 2500, extra: str = "") -> None:
         """Send a request; `extra` holds complete header lines."""
--- a/cloverrouter/lab/quic.py
+++ b/cloverrouter/lab/quic.py
@@ -8,6 +8,7 @@
 import asyncio
 import importlib
 import inspect
+import os
 import socket
 import time
 from collections.abc import Awaitable, Callable
@@ -16,6 +17,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from cloverrouter.lab.peers import client_numbers
 from cloverrouter.lab.process import LONG_S
 
 Address = tuple[str, int]
@@ -82,6 +84,7 @@
         self._up = False
         self._timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.DatagramTransport | None = None
+        self._number = next(client_numbers)
         self._count = 0
 
     async def open(self) -> QuicClient:
@@ -122,7 +125,7 @@
         `extra` adds or replaces fields, named with underscores; an empty value removes one.
         """
         self._count += 1
-        name = f"{id(self):x}-{self._count}"
+        name = f"{os.getpid()}-{self._number}-{self._count}"
         values = {
             ":method": "GET" if target.startswith("/safe") else "POST",
             ":scheme": "https",
