An address belongs to one listed host, and a connection to the process that the list names

Seen: (1) where a new server was listed at the address of one whose removal was late, work for the old one went to the new one, and ids that ran there ran in the old one's cell, too; (2) a request was sent on a silent connection of a process whose successor at the same address was listed with its start time, and failed. Cause: (1) addresses were kept by name, and nothing noticed two names with one address; (2) connections were kept by name and address, whatever start time the list gave. Evidence: (1) with the second server at an address of its own nothing ran twice; (2) on a new connection the host answers. Now AddressBook gives each address to the ready host that started last; the other one is reported as gone until it is listed anew, and a late entry of it changes nothing. A later start time ends the use of older connections, on HTTP/3, too. Class: an identity made of too few parts.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -156,6 +156,7 @@
         self.quic = QuicClient(settings)
         super().__init__(carrier.loop, self.quic, host[0], carrier.count)
         self.host, self._carrier, self._sock = host, carrier, sock
+        self.opened_s = carrier.loop.time()
         self.established = False
         self.draining = False  # it accepts no more requests, and closes after those that it has
         self.failure_signal: ConnectionSignal | None = None  # if it can't be established
@@ -608,6 +609,13 @@
             for connection in list(self._connections.get(host, ())):
                 connection.drain()
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        """Drain the connections to a host that were opened before `before_s`: its process has gone."""
+        self.http1_carrier.discard_older(host, before_s)
+        for connection in list(self._connections.get(host, ())):
+            if connection.opened_s < before_s:
+                connection.drain()
+
     # Connections
 
     def _may_open(self) -> bool:
--- a/cloverrouter/lab/hollow.py
+++ b/cloverrouter/lab/hollow.py
@@ -175,6 +175,10 @@
         """Do nothing."""
         pass
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        """Do nothing."""
+        pass
+
     def preconnect(self, host: Host) -> None:
         """Do nothing."""
         pass
--- a/cloverrouter/lab/simcarrier.py
+++ b/cloverrouter/lab/simcarrier.py
@@ -154,6 +154,9 @@
         engine.post(net.delay_s(self._name, server.name), self._handle_connect_request, exchange, server)
         return exchange
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        """Do nothing: a simulated connection ends with its server's process."""
+
     def preconnect(self, host: Host) -> None:
         if not self.alive:
             return
--- a/cloverrouter/proxy/carrier.py
+++ b/cloverrouter/proxy/carrier.py
@@ -58,5 +58,8 @@
         """Drop the hosts that are not in `wanted`, which is looked up for each connected host and never
         iterated: it may hold thousands."""
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        """Use no connection to a host any more that was opened before `before_s`: its process has gone."""
+
     def preconnect(self, host: Host) -> None:
         """Open one connection to a newly listed host."""
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -22,7 +22,6 @@
     ConnectionSignal,
     ConnectionSignalObserved,
     EndpointsListed,
-    EndpointState,
     Event,
     Fail,
     GiveUpReason,
@@ -45,9 +44,10 @@
 )
 from cloverrouter.membership.releases import servers_to_preconnect
 from cloverrouter.membership.standing import LoopGap, sort_by_worth
+from cloverrouter.proxy.address_book import AddressBook
 from cloverrouter.proxy.admission import Admission
 from cloverrouter.proxy.carrier import Carrier
-from cloverrouter.proxy.config import Address, HostList
+from cloverrouter.proxy.config import HostList
 from cloverrouter.proxy.containment import contained_errors_of
 from cloverrouter.proxy.lag import LagMeter
 from cloverrouter.proxy.late_answers import LateAnswer
@@ -97,7 +97,8 @@
         self.failed = False  # the balancer has raised an error and is not called any more
         self.errors = contained_errors_of(self._loop)
         self._record = self.errors.recorder.record
-        self._addresses: dict[str, Address] = {}
+        self._address_book = AddressBook()
+        self._addresses = self._address_book.addresses
         self._requests: dict[int, OpenRequest] = {}
         self._by_call: dict[Call, OpenRequest] = {}
         # Calls that arrived during a process pause and wait to be admitted.
@@ -676,19 +677,16 @@
     def listed(self, kind: ListKind, found: HostList) -> None:
         """Apply an answer of discovery. Thousands of hosts may be known, and most answers name one or none:
         only the named ones are visited."""
-        first, previous = not self._addresses, self._addresses
-        if kind is not ListKind.DELTA:
-            self._addresses = {}
-        before: dict[str, Address | None] = {}
-        for entry in found.entries:
-            name = entry.listed.name
-            before.setdefault(name, previous.get(name))
-            if entry.listed.state is EndpointState.READY and entry.address is not None:
-                self._addresses[name] = entry.address
-            else:
-                self._addresses.pop(name, None)
+        first = not self._addresses
+        before = {entry.listed.name: self._addresses.get(entry.listed.name) for entry in found.entries}
+        found = self._address_book.apply(kind, found)
+        self._addresses = self._address_book.addresses
         # The balancer receives the list even if closing connections fails: it may contain a drain.
         self.errors.run("connections_kept", lambda: self.carrier.keep_only(self._addresses.items()))
+        for entry in self._address_book.restarted:
+            if entry.address is not None and entry.listed.started_ms is not None:
+                host, started_s = (entry.listed.name, entry.address), entry.listed.started_ms / 1000
+                self.errors.run("connections_older", partial(self.carrier.discard_older, host, started_s))
         self._record("listed", found.version, f"{kind.name} of {len(found.entries)}")
         self.dispatch(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
         current = ((name, self._addresses.get(name)) for name in before)
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -54,6 +54,7 @@
         self.last_progress_s = 0.0  # of the last byte, on the clock that excludes process pauses
         self._unread_ms: float | None = 0.0  # how long the last read data was in the socket; None: unknown
         self._memory = MemoryAccount(pool.upstream.memory)
+        self.opened_s = pool.upstream.loop.time()
         self.idle_since = 0.0
         self.idle_before_use_s = 0.0  # idle time before its last use
         self._aborted = False  # closed by this process
--- a/cloverrouter/proxy/server_pool.py
+++ b/cloverrouter/proxy/server_pool.py
@@ -47,12 +47,18 @@
 
     def release(self, connection: ServerConnection) -> None:
         """Return a connection to the pool after its use."""
-        if not self.upstream.is_current(self):
+        if not self.upstream.is_current(self) or connection.opened_s < self._opened_from_s:
             connection.abort()  # the host drains or was removed: idle connections only burden it
             return
         connection.idle_since = self.upstream.loop.time()
         self.idle.append(connection)
 
+    def discard_older(self, before_s: float) -> None:
+        """Stop using connections that were opened before `before_s`: the host's process has gone since."""
+        self._opened_from_s = before_s
+        for connection in [c for c in self.idle if c.opened_s < before_s]:
+            connection.abort()
+
     def acquire(self, retryable: bool) -> ServerConnection | None:
         """Take an idle connection that may be used for a request; None if there is none."""
         now_s = self.upstream.loop.time()
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -81,6 +81,11 @@
         for host in [h for h in self._pools if h not in wanted]:
             self._pools.pop(host).close_idle()
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        """Close idle connections to a host that were opened before `before_s`; busy ones are not reused."""
+        if (pool := self._pools.get(host)) is not None:
+            pool.discard_older(before_s)
+
     def is_current(self, pool: ServerPool) -> bool:
         """Whether `pool` is in use: its host may have been dropped, and listed again with another pool."""
         return self._pools.get(pool.host) is pool
--- a/tests/http3/test_carrier.py
+++ b/tests/http3/test_carrier.py
@@ -62,6 +62,7 @@
     def __init__(self) -> None:
         self.sent: list[Host] = []
         self.opened: list[Host] = []
+        self.discarded: list[tuple[Host, float]] = []
         self.kept: AbstractSet[Host] = set()
 
     def send(self, host: Host, *rest: Any) -> Exchange:
@@ -71,6 +72,9 @@
     def keep_only(self, wanted: AbstractSet[Host]) -> None:
         self.kept = wanted
 
+    def discard_older(self, host: Host, before_s: float) -> None:
+        self.discarded.append((host, before_s))
+
     def preconnect(self, host: Host) -> None:
         self.opened.append(host)
 
