An answered request keeps its id; soak with hungry clients, repeated ids and slow answers

The soak has clients that leave and come again with the same id, servers that write long answers beyond the request's time, and in some runs clients that make the proxy hold as much as they can, with 32 MB, against which the peak is checked.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -622,6 +622,8 @@
         request = attempt.request
         if request.attempts.pop(attempt.number, None) is None:
             return
+        if outcome in MAY_HAVE_RUN or outcome is Outcome.OK:
+            request.may_have_run = True
         attempt.stop_timers()
         latency_ms, uncertain = self._server_latency_ms(attempt, outcome, answer)
         self._record("attempt_ended", request.call.request_id, (attempt.host[0], outcome.value))
@@ -638,8 +640,6 @@
             call = request.call
             self._reply(request, lambda: call.served(answer))
             self._observe_end(request, RequestResult.SERVED, None)
-        if outcome in MAY_HAVE_RUN or outcome is Outcome.OK:
-            request.may_have_run = True
         if self.failed and not request.answered:
             self._finish_without_balancer(request)
         self._remove_if_finished(request)
--- a/tests/faults/chaos/__main__.py
+++ b/tests/faults/chaos/__main__.py
@@ -35,6 +35,7 @@
         "plan": outcome.plan,
         "troubles": failures[:5],
         "statuses": outcome.statuses,
+        "peak_mb": round(outcome.peak_mb, 1),
         "kept": [outcome.kept_answered, outcome.kept_answered_after_sigterm],
     }
     print(json.dumps(line), flush=True)
--- a/tests/faults/chaos/plan.py
+++ b/tests/faults/chaos/plan.py
@@ -24,6 +24,7 @@
     ("register", "ENOMEM"),
 )
 FEW_SOCKETS, MANY_SOCKETS = 48, 256
+SMALL_MEMORY_MB, LARGE_MEMORY_MB = 32, 192
 
 
 @dataclass(frozen=True)
@@ -42,6 +43,7 @@
     upgrade: bool  # another process takes over half-way
     crowd: bool  # idle clients use up the descriptors
     series: bool  # signals are sent in quick succession
+    hungry: bool  # clients make the proxy hold as much as they can, and its memory is small
 
     @property
     def few_descriptors(self) -> bool:
@@ -61,6 +63,11 @@
         """Whether the proxy runs under `faulty_sockets`."""
         return bool(self.faults) or self.short_io
 
+    @property
+    def memory_mb(self) -> int:
+        """The limit of memory in the proxy's configuration."""
+        return SMALL_MEMORY_MB if self.hungry else LARGE_MEMORY_MB
+
     @property
     def sigkill_after_s(self) -> float:
         """The platform's grace period after SIGTERM: the longest deadline or 3 s, plus 0.7 s."""
@@ -96,4 +103,5 @@
         upgrade=random.random() < 0.25,
         crowd=random.random() < 0.25,
         series=random.random() < 0.5,
+        hungry=random.random() < 0.3,
     )
--- a/tests/faults/test_left_clients.py
+++ b/tests/faults/test_left_clients.py
@@ -117,6 +117,18 @@
     asyncio.run(scene())
 
 
+# Guards against: an id is forgotten with the answer, which its client may not have seen.
+def test_id_that_was_answered_does_not_run_twice() -> None:
+    async def scene() -> None:
+        hosts = [await Host(f"h{i}", answer_ok).start() for i in range(2)]
+        async with running(await Discovery().start(), hosts) as proxy:
+            for expected in (200, 409):
+                assert await ask_again(proxy, request("r0"), within_s=10.0) == expected
+            assert ids_seen(hosts)["r0"] == 1
+
+    asyncio.run(scene())
+
+
 # Guards against: a request that never ran is taken for a repetition, and its client gets no service.
 def test_id_that_never_ran_may_come_again() -> None:
     async def reject(seen: Seen, writer: asyncio.StreamWriter) -> None:
