--- a/cloverrouter/decide.py
+++ b/cloverrouter/decide.py
@@ -450,10 +450,9 @@
             old, endpoint.listed = endpoint.listed, entry
             if event.kind is ListKind.DELTA or old.started_ms != entry.started_ms:
                 endpoint.restarted_ms = float("-inf")  # discovery now knows the current process
-            if old.started_ms != entry.started_ms:
-                endpoint.replaced_ms = float("-inf")  # the listed process is the current one
             if old.started_ms != entry.started_ms:  # a new process: the statistics of the old one don't apply
                 endpoint.set_values(earned, slowness)
+                endpoint.replaced_ms = float("-inf")  # the listed process is the current one
                 endpoint.cold_credit, endpoint.cold_credit_at_ms, endpoint.completed_work_rate = (
                     0.0,
                     None,
--- a/cloverrouter/lab/peers.py
+++ b/cloverrouter/lab/peers.py
@@ -236,7 +236,11 @@
     @property
     def next_id(self) -> str:
         """The id that the next request will have."""
-        return f"{os.getpid()}-{self.number}-{self.count + 1}"
+        return self.request_id(self.count + 1)
+
+    def request_id(self, count: int) -> str:
+        """The id of this client's request number `count`."""
+        return f"{os.getpid()}-{self.number}-{count}"
 
     def send(self, target: str, body: bytes = b"x", timeout_ms: object = 2500, extra: str = "") -> None:
         """Send a request; `extra` holds complete header lines."""
--- a/tests/endings/test_front.py
+++ b/tests/endings/test_front.py
@@ -433,7 +433,7 @@
             await host.wait(lambda: len(host.seen) >= 1)
             await asyncio.sleep(0.05)
             sent = {seen.message.headers["x-request-id"] for seen in host.seen}
-            waiting = [client for client in busy if f"{id(client):x}-1" not in sent]
+            waiting = [client for client in busy if client.request_id(1) not in sent]
             assert waiting
             for client in waiting:
                 sock = socket.socket(fileno=os.dup(client.writer.get_extra_info("socket").fileno()))
@@ -451,7 +451,7 @@
             name = after.next_id
             after.send("/unsafe")
             await host.wait(lambda: any(s.message.headers["x-request-id"] == name for s in host.seen))
-            withdrawn = {f"{id(client):x}-1" for client in waiting}
+            withdrawn = {client.request_id(1) for client in waiting}
             assert not withdrawn & {seen.message.headers["x-request-id"] for seen in host.seen}
 
     asyncio.run(scene())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -53,8 +53,8 @@
         first = hosts[0].seen[0].message
         assert first.start == "POST /keyed/a?obj=7f3a&x=%20 HTTP/1.1"
         assert first.body == b"hello"
-        assert first.headers["x-request-id"] == f"{id(client):x}-1"
-        assert first.headers["idempotency-key"] == f"k{id(client):x}-1"
+        assert first.headers["x-request-id"] == client.request_id(1)
+        assert first.headers["idempotency-key"] == f"k{client.request_id(1)}"
         assert 0 < int(first.headers["x-timeout-ms"]) <= 2500
         assert hosts[0].connections == 1
 
