--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -39,6 +39,7 @@
 MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # of a client's socket (tcp(7), tcp_wmem)
 MAX_UNSEEN_CLOSE_S = 0.08  # an attempt must not begin 0.1 s after its client has closed the connection
 MAX_VISIBLE_BYTES = 32 * 1024  # unread, with which the rest of what a client has sent still arrives
+SMALL_BODY_BYTES = 1024  # two copies of it, and the call, are within what is free
 CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
@@ -743,22 +744,29 @@
 
     @property
     def _held_bytes(self) -> int:
-        """How much memory this connection's messages take."""
-        held = self._parser.held_bytes + len(self._unparsed)
+        """How much memory this connection's messages take. Up to `WRITE_BUFFER_BYTES` of answers don't count,
+        which are free in any case: this is computed several times for each request."""
+        held = len(self._parser.body) + self._parser.head_bytes + len(self._unparsed)
         for call in self._queued:
             held += len(call.body) + CALL_BYTES
-        if self._open_call is not None:
+        open_call = self._open_call
+        if open_call is not None:
             # Once more in the buffer of a host's connection, until the host has read it.
-            held += 2 * len(self._open_call.body) + CALL_BYTES
-            if self._open_call.upload is not None:
-                held += self._open_call.upload.held_bytes
-        if self._transport is not None:
+            held += 2 * len(open_call.body) + CALL_BYTES
+            if open_call.upload is not None:
+                held += open_call.upload.held_bytes
+        if self._writing_paused and self._transport is not None:
             held += self._transport.get_write_buffer_size()
         return held
 
     def record_memory(self) -> None:
         """Record how much memory this connection's messages take."""
-        self._memory.hold(self._held_bytes)
+        call, parser = self._open_call, self._parser
+        is_small = call is None or (call.upload is None and len(call.body) < SMALL_BODY_BYTES)
+        if is_small and not (self._queued or self._unparsed or self._writing_paused or parser.held_bytes):
+            self._memory.hold(0)  # the usual case, at little cost
+        else:
+            self._memory.hold(self._held_bytes)
 
     @property
     def busy(self) -> bool:
--- a/cloverrouter/proxy/request_parser.py
+++ b/cloverrouter/proxy/request_parser.py
@@ -41,7 +41,7 @@
         self.body = bytearray()  # the part that has been neither forwarded nor made part of a call
         self.in_head = True
         self.body_size = 0  # bytes of the body so far, including those already forwarded
-        self._head_bytes = 0
+        self.head_bytes = 0  # received of an incomplete head
         self._overhead_bytes = 0  # received since the last byte of the body
 
     def close(self) -> None:
@@ -65,8 +65,8 @@
         finally:
             self._receiver = None
         if self.in_head and self.begun and not self._completed:
-            self._head_bytes += len(data)  # the parser reports nothing of a header line that never ends
-            if self._head_bytes > MAX_HEAD_BYTES:
+            self.head_bytes += len(data)  # the parser reports nothing of a header line that never ends
+            if self.head_bytes > MAX_HEAD_BYTES:
                 self._reject(431)
         elif self.begun and self.body_size == body_size:
             self._overhead_bytes += len(data)  # chunk extensions, trailers
@@ -110,7 +110,7 @@
     @property
     def held_bytes(self) -> int:
         """How much memory the part of a request takes that has been received."""
-        return len(self.body) + (self._head_bytes if self.in_head else 0)
+        return len(self.body) + self.head_bytes
 
     def abandon(self, status: int) -> None:
         """Drop the request that is being received, and treat it as invalid with `status`."""
@@ -138,7 +138,7 @@
         self.error_status = self.error_status or self.headers.add(name.lower(), value)
 
     def on_headers_complete(self) -> None:
-        self.in_head, self.body_size = False, 0
+        self.in_head, self.body_size, self.head_bytes = False, 0, 0
         parser, headers = self._parser, self.headers
         assert parser is not None and self._receiver is not None
         length = headers.get(b"content-length")
