The times of a client's input are a module of its own, input_times.py

Whole suite on it: 1 of 2,200 failed, tests/test_clients.py::test_duplicate_id_of_an_open_request_is_rejected, because of: it asked that the id of an unsafe request that was answered with 200 be run once more ('a client may have to retry').

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -16,6 +16,7 @@
 from cloverrouter.proxy.client_answers import StreamedAnswer, encode_answer, encode_stream_head
 from cloverrouter.proxy.client_call import ClientCall
 from cloverrouter.proxy.direct import DirectTransport
+from cloverrouter.proxy.input_times import InputTimes
 from cloverrouter.proxy.load import RefusalReason
 from cloverrouter.proxy.memory import FREE_BYTES, MemoryAccount
 from cloverrouter.proxy.messages import (
@@ -26,7 +27,7 @@
 )
 from cloverrouter.proxy.overload import MAX_DELAY_S
 from cloverrouter.proxy.request_parser import RequestParser
-from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset, unread_bytes
+from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset
 from cloverrouter.proxy.validity import HEALTH
 from cloverrouter.proxy.wake import data_age_s
 
@@ -36,17 +37,12 @@
 READ_BUFFER_BYTES = 64 * 1024
 WRITE_BUFFER_BYTES = 4 * 1024  # unsent bytes beyond which no call is started and a streamed answer waits
 MAX_CALLS_PER_STEP = 4  # started for one connection in a step of the event loop
-MAX_SEND_BUFFER_BYTES = 4 * 1024 * 1024  # of a client's socket (tcp(7), tcp_wmem)
-MAX_UNSEEN_CLOSE_S = 0.08  # an attempt must not begin 0.1 s after its client has closed the connection
-MAX_VISIBLE_BYTES = 32 * 1024  # unread, with which the rest of what a client has sent still arrives
 SMALL_BODY_BYTES = 1024  # two copies of it, and the call, are within what is free
 CALL_BYTES = 1024  # of memory that a call takes beside its body
 # Limits on pipelined calls behind an open one of the same connection, and on their bytes, beyond which no
 # further input is parsed or read until some have been answered.
 MAX_QUEUED_CALLS = 16
 MAX_QUEUED_BYTES = 2 * STREAMING_THRESHOLD_BYTES
-# Input that follows within this time was held back by flow control: it may be as old as the input before it.
-FLOW_CONTROL_GAP_S = 0.05
 # Input is parsed in pieces, so that few calls are added beyond these limits. A body is one piece.
 PARSED_PIECE_BYTES = 2048
 # From connecting, or from the first byte of a later request, to the last byte. The requirement is 3 s.
@@ -96,9 +92,6 @@
         self._deferred_error = 0  # error status of a request behind calls that are answered first
         self._deferred_since_s = 0.0
         self._unparsed = b""  # input that was read, and has to wait until fewer calls are queued
-        self._read_s = 0.0  # when the last input was read
-        self._read_limit = READ_BUFFER_BYTES  # how much the last read could take
-        self._delayed_read_since_s: float | None = None  # since when it may have waited unread
         self._ended = False  # an error or the last answer has been sent: further input is discarded
         self._has_requested = False  # a complete request has been received
         self._unread_from_s: float | None = None  # when a sweep first found unread input
@@ -110,20 +103,18 @@
         self._finished_uploads: list[tuple[ClientCall, bytes]] = []
         self._stream: StreamedAnswer | None = None  # the answer that is being streamed
         self._upload_paused = False  # backpressure: the received part of a body has not been forwarded yet
-        # Since when the client may have written the last byte of that body, unread; 0: it has not.
-        self._upload_written_since_s = 0.0
         self._reading_paused = False  # for that reason, or since enough calls wait
-        self._unread_since_s = 0.0  # since when input may be unread because calls wait; 0: it is not
-        self._resumed_s = 0.0  # when reading was last resumed
+        self._times = InputTimes(
+            frontend.loop,
+            frontend.pause_detector,
+            sock,
+            READ_BUFFER_BYTES,
+            frontend.listener.delayed_since_s,
+        )
         self._memory = MemoryAccount(frontend.memory)
         self._reserved_bytes = 0  # of the shared buffer budget, for the bodies of the open calls
         # Bytes of streamed answers that were written, and that had left the write buffer at the last check.
         self._stream_written = self._stream_flushed = 0
-        # Since when input may have waited unread, where that exceeds the loop's own delay; 0: it has not.
-        self.delayed_since_s = frontend.listener.delayed_since_s
-        self._opened_s, self._nothing_read = frontend.loop.time(), True
-        self._connected_s = self._opened_s  # when the client was last known not to have closed the connection
-        self._drained = True  # the last read has left nothing in the receive buffer
         self._proceeding = False  # `_proceed` is called in the next step of the loop
         self._just_completed: list[ClientCall] = []  # calls whose last byte came in the current read
         self.body_progress_s = self.state_since_s  # when bytes of the body were last received
@@ -132,7 +123,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         view = self._frontend.memory.view(self._frontend.buffer)
-        self._read_limit = len(view)
+        self._times.read_limit = len(view)
         return view
 
     def buffer_updated(self, nbytes: int) -> None:
@@ -149,15 +140,15 @@
     def _process(self, data: memoryview) -> None:
         """Parse input that was just read and pass on the calls in it, as far as calls may be queued."""
         rest = self._parse(data)
-        self._record_read(len(data))
-        self._record_arrival(len(rest) == 0)
+        self._times.record_read(len(data))
+        self._set_arrivals(len(rest) == 0)
         self._pass_on(rest)
 
     def _process_unparsed(self) -> None:
         """Parse more of the input that had to wait."""
         data, self._unparsed = self._unparsed, b""
         rest = self._parse(memoryview(data))
-        self._record_arrival(False)
+        self._set_arrivals(False)
         self._pass_on(rest)
 
     def _pass_on(self, rest: memoryview) -> None:
@@ -251,51 +242,16 @@
             return
         self._reading_paused = not wanted
         if wanted:
-            self._resumed_s = self._frontend.loop.time()
+            self._times.reading_resumed()
             self._transport.resume_reading()
         else:
-            if self._upload_paused:
-                self._unread_since_s = 0.0  # an upload's time does not count while its host is slow
-            elif not (self._unread_since_s and has_unread_data(self._sock)):
-                self._unread_since_s = self._frontend.loop.time()
+            self._times.reading_paused(is_uploading=self._upload_paused)
             self._transport.pause_reading()
 
-    def _record_read(self, nbytes: int) -> None:
-        """Note when the current input was read, and since when it may have waited unread, if it may."""
-        now_s = self._frontend.loop.time()
-        pause_detector = self._frontend.pause_detector
-        drained = nbytes < self._read_limit
-        if drained or self._drained:
-            self._connected_s = now_s
-        self._drained = drained
-        if self._unread_since_s:
-            if now_s - max(self._read_s, self._resumed_s) > FLOW_CONTROL_GAP_S:
-                self._unread_since_s = 0.0
-            self.delayed_since_s = self.delayed_since_s or self._unread_since_s
-        since_s = self.delayed_since_s or pause_detector.waiting_since_s(now_s)
-        if self._nothing_read:
-            self._nothing_read = False
-            since_s = since_s or pause_detector.first_data_waiting_since_s(now_s, self._opened_s)
-        # If the read filled the buffer, the remaining input may have waited as long.
-        self.delayed_since_s = since_s or 0.0 if nbytes >= self._read_limit else 0.0
-        self._read_s, self._delayed_read_since_s = now_s, since_s
-
-    def _record_arrival(self, is_last_input: bool) -> None:
-        """Set the arrival time of the calls that were just parsed, if they may have waited.
-
-        A process that resumes after a pause finds the requests that arrived in the meantime, and would
-        execute them after their clients gave up. `is_last_input`: all that was read has been parsed.
-        """
+    def _set_arrivals(self, is_last_input: bool) -> None:
+        """Set the arrival time of the calls that were just parsed; `is_last_input`: all input is parsed."""
         completed, self._just_completed = self._just_completed, []
-        since_s, pause_detector = self._delayed_read_since_s, self._frontend.pause_detector
-        for call in completed:
-            if since_s is not None:
-                is_last_data = is_last_input and call is completed[-1] and not self._parser.begun
-                # The kernel's age says nothing of data that the client's kernel held back.
-                sock = self._sock if is_last_input and not self._unread_since_s else None
-                call.set_arrival(pause_detector.arrival_bounds_s(self._read_s, since_s, sock, is_last_data))
-            else:
-                call.arrived_ms = min(call.arrived_ms, self._read_s * 1000)
+        self._times.set_arrivals(completed, is_last_input, not self._parser.begun)
 
     def _finish_uploads(self) -> None:
         """Forward the last bytes of streamed bodies. Not done in the parser's callbacks, as in `_next`."""
@@ -306,7 +262,7 @@
                 done.upload.feed(rest)
             done.upload.end()
             self._upload_paused = False  # its host may still be slow, but no more input belongs to it
-            self._upload_written_since_s = 0.0
+            self._times.upload_written_since_s = 0.0
 
     def _forward_body(self) -> None:
         """Forward or buffer received body bytes. Not done in the parser's callbacks, as in `_next`."""
@@ -349,21 +305,10 @@
             self._record_upload_backlog()
 
     def _record_upload_backlog(self) -> None:
-        """Note since when the rest of the body that is being streamed may have been written by its client.
-
-        The client's time counts from its last byte, which the kernel takes while this process does not read.
-        """
-        if self._uploading is None or not (self._upload_paused or has_unread_data(self._sock)):
-            self._upload_written_since_s = 0.0  # all that has been written has been read
-        elif not self._upload_written_since_s and self._rest_may_be_written(self._uploading):
-            self._upload_written_since_s = self._frontend.loop.time()
-
-    def _rest_may_be_written(self, call: ClientCall) -> bool:
-        """Whether the kernel can hold the rest of a body that is being streamed."""
-        if call.upload is None or call.upload.length is None:
-            return True
-        missing_bytes = call.upload.length - self._parser.body_size - len(self._unparsed)
-        return missing_bytes <= unread_bytes(self._sock) + MAX_SEND_BUFFER_BYTES
+        call, missing_bytes = self._uploading, None
+        if call is not None and call.upload is not None and call.upload.length is not None:
+            missing_bytes = call.upload.length - self._parser.body_size - len(self._unparsed)
+        self._times.record_upload_backlog(call, self._upload_paused, missing_bytes)
 
     def _resume_upload(self) -> None:
         if self._upload_paused and self._transport is not None:
@@ -393,12 +338,8 @@
         return self._open_call is not call
 
     def may_be_disconnected(self) -> bool:
-        """Return whether the client may have closed the connection without this process seeing it.
-
-        Its FIN lies behind all that it has sent, and does not arrive while the receive buffer is full.
-        """
-        since_s = self._frontend.loop.time() - self._connected_s
-        return since_s > MAX_UNSEEN_CLOSE_S and unread_bytes(self._sock) > MAX_VISIBLE_BYTES
+        """Return whether the client may have closed the connection without this process seeing it."""
+        return self._times.may_be_disconnected()
 
     def begin_direct(self, transport: asyncio.Transport) -> None:
         """Use `transport` until the event loop provides one (`connection_made`) or the connection ends."""
@@ -449,7 +390,7 @@
     def request_received(self) -> None:
         coming, self._uploading = self._uploading, None
         if coming is not None:
-            coming.arrived_ms = (self._upload_written_since_s or self._frontend.loop.time()) * 1000
+            coming.arrived_ms = self._times.upload_arrived_ms()
             self._finished_uploads.append((coming, bytes(self._parser.body)))
             self._just_completed.append(coming)
         else:
@@ -558,7 +499,7 @@
         self._open_call = None
         self._release_buffer()
         if not self.unflushed:
-            self._connected_s = self._frontend.loop.time()  # a closed socket answers with RST
+            self._times.record_answer()
         self.state_since_s = self._frontend.active_time_s()
         assert self._transport is not None
         if close and self._frontend.has_many_idle and not self.unflushed and not has_unread_data(self._sock):
@@ -846,8 +787,8 @@
             self.end("left")  # not reported while reading is paused; the request would still be forwarded
             return
         self._record_upload_backlog()
-        if self._uploading is not None and self._upload_written_since_s:
-            self._gate.handler.upload_held_back(self._uploading, self._upload_written_since_s)
+        if self._uploading is not None and self._times.upload_written_since_s:
+            self._gate.handler.upload_held_back(self._uploading, self._times.upload_written_since_s)
             if self._ended:
                 return
         deferred_s = now_s - self._deferred_since_s if self._deferred_error else 0.0
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -157,9 +157,13 @@
             hosts[0].open[1].write(ok(b"for the first"))
             assert (await first.read()).body == b"for the first"
             assert len(hosts[0].seen) == 1
-            again = await proxy.client()  # the id is free again: a client may have to retry
+            again = await proxy.client()  # it has run, and its client may not have seen the answer
             again.writer.write(data)
-            assert (await again.read()).status == 200
+            assert (await again.read()).status == 409
+            assert len(hosts[0].seen) == 1
+            new = await proxy.client()
+            new.writer.write(post("/unsafe", "X-Request-ID: new\r\n"))
+            assert (await new.read()).status == 200
 
     asyncio.run(scene())
 
