Test of a process that is killed in series and starts in a crowd, as in the incident

The signals of the evidence with a real process of 32 MB: three starts, each met by 460 clients that come again, of four kinds.

--- a/tests/faults/test_memory_limit.py
+++ b/tests/faults/test_memory_limit.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import resource
+import signal
 import socket
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
@@ -17,6 +19,7 @@
 MEMORY_MB, SOCKETS = 32, 1024
 CROWD = 460  # of the 462 connections that clients may have
 OWN_DESCRIPTORS = 4096  # of the test's process
+STARTS, CROWD_S = 3, 2.0  # of a process, and for how long the crowd comes to each
 HOLD_S = 2.5  # for how long the crowd stays; by then each of its clients has been answered or closed
 LONG_ANSWER_BYTES, SHORT_ANSWER_BYTES = 8 << 20, 60_000
 SERVERS = 24
@@ -133,3 +136,44 @@
         ),
     }
     assert not over_limit(asyncio.run(peak_with_crowd(crowds)))
+
+
+# Guards against: a process that ends, or passes its limit, when it starts in a crowd that reconnects at once.
+def test_each_start_in_a_series_of_kills_serves_a_crowd_within_the_memory() -> None:
+    fields = b"".join(b"%x:\r\n" % i for i in range(0x100, 0x100 + 2500))
+    kinds: tuple[Behaviour, ...] = (
+        lambda i: head(i, 0) + fields,
+        lambda i: head(i, 400_000) + b"\r\n" + bytes(200_000),
+        lambda i: head(i, 0, target="/unsafe?obj=long") + b"\r\n",
+        lambda i: b"".join(head(f"{i}-{k}", 20_000) + b"\r\n" + bytes(20_000) for k in range(6)),
+    )
+
+    async def crowd(proxy: Proxy, start: int, until_s: float) -> None:
+        """Keep the crowd connected: each client that is closed, or can't connect, comes again."""
+
+        async def client(number: int) -> None:
+            while time.monotonic() < until_s:
+                name = f"{start}-{number}-{time.monotonic_ns()}"
+                data = kinds[number % len(kinds)](0).replace(b"id-0", b"id-" + name.encode())
+                writer = await connect_and_send(proxy, data)
+                if writer is not None:
+                    await asyncio.sleep(max(0.0, min(1.0, until_s - time.monotonic())))
+                    writer.transport.abort()
+                await asyncio.sleep(0.05)
+
+        await asyncio.gather(*(client(number) for number in range(CROWD)))
+
+    async def scene() -> None:
+        async with small_proxy() as proxy:
+            for start in range(STARTS):
+                if start:
+                    proxy.process.kill()
+                    assert await proxy.ended() == -signal.SIGKILL
+                    proxy.start()
+                crowd_task = asyncio.ensure_future(crowd(proxy, start, time.monotonic() + CROWD_S))
+                await proxy.wait_health(200)
+                await crowd_task
+                assert proxy.up
+                assert peak_mb(proxy) < MEMORY_MB
+
+    asyncio.run(scene())
