An answer that is just being sent is not cut off to make room for another connection

Cause: where nothing else can be evicted, a connection whose answer is not flushed is, however new the answer; here the rest was due in the next steps of the loop. Now such a connection is evicted only once its answer has been unsent for 0.5 s, as that of a client that does not read. tests/endings/test_front.py, test_answer_that_has_just_been_written_... failed before. Found on the way: a first form of the test did not reach the case, since a connection with over 4 kB unsent counts as busy.

--- a/cloverrouter/proxy/eviction.py
+++ b/cloverrouter/proxy/eviction.py
@@ -8,6 +8,8 @@
 # Upper bound on the time that a first request takes to arrive, also on a busy machine. Closing the connection
 # in that time would answer the request with a TCP reset.
 SILENT_GRACE_S = 0.1
+# An answer that is being sent takes a few steps of the event loop, unless its client does not read.
+UNFLUSHED_GRACE_S = 0.5
 # If more than 1 / MAX_SILENT_DIVISOR of the connection limit has sent no request yet, these connections keep
 # other clients out, and the grace period no longer applies to them.
 MAX_SILENT_DIVISOR = 4
@@ -76,6 +78,8 @@
             for connection in connections:
                 if connection.unflushed is not unflushed:
                     continue
+                if unflushed and connection.state_since_s > now_s - UNFLUSHED_GRACE_S:
+                    continue
                 if connections is self._silent and connection.state_since_s > now_s - grace_s:
                     break  # insertion order: all that follow are newer
                 if connection.evictable:
--- a/tests/endings/test_front.py
+++ b/tests/endings/test_front.py
@@ -26,6 +26,7 @@
 from cloverrouter.lab.process import own_address
 from cloverrouter.proxy import frontend as front
 from cloverrouter.proxy import listener, overload
+from cloverrouter.proxy.eviction import UNFLUSHED_GRACE_S
 from cloverrouter.proxy.frontend import Frontend
 from cloverrouter.proxy.shutdown import ACCEPT_PERIOD_S, EXIT_MARGIN_S, drain
 from cloverrouter.proxy.wake import Loop
@@ -124,6 +125,25 @@
     run_scene(scene)
 
 
+# Guards against: a crowd has an answer cut off that is just being sent, since every other connection is busy.
+def test_answer_that_has_just_been_written_is_not_cut_off_to_make_room() -> None:
+    async def scene(loop: Loop) -> None:
+        frontend, handler, address = await start_frontend(loop, 8)
+        client = connect_with_small_buffer(address, request_with_close("r0"))
+        await until(lambda: handler.calls)
+        transport = next(iter(frontend._connections))._transport
+        assert transport is not None
+        transport.set_write_buffer_limits(high=1 << 30)  # as if little of the answer were left
+        handler.calls.pop().reply(200, LARGE_BODY * 60)
+        assert frontend.has_unfinished_answers
+        assert not frontend.evict()
+        await asyncio.sleep(UNFLUSHED_GRACE_S + 0.1)
+        assert frontend.evict()  # its client does not read, and others need the place
+        client.close()
+
+    run_scene(scene)
+
+
 # Clients that disconnect while a request is queued, waits behind another or is streamed, or with unread
 # answers
 
