--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -93,7 +93,7 @@
     def answer_progress(self) -> AnswerProgress | None:
         """Return how far an answer has come that has begun and may be long; None if there is none."""
         reply = self.reply
-        if self.connection is None or not reply.status:
+        if self.connection is None or reply.status != 200:
             return None
         if reply.length is not None and not reply.exceeds_buffer:
             return None
--- a/cloverrouter/proxy/late_answers.py
+++ b/cloverrouter/proxy/late_answers.py
@@ -41,6 +41,8 @@
         if progress is None:
             self._give_up()
             return
+        if progress.body_bytes > STREAMING_THRESHOLD_BYTES:
+            return  # it is long, and streamed
         goes_on = progress.body_bytes > 0 and progress.idle_s < UNSTREAMED_IDLE_S
         body_may_follow = progress.body_bytes == 0 and grace_is_over
         if not goes_on and not body_may_follow:
--- a/cloverrouter/proxy/run_ids.py
+++ b/cloverrouter/proxy/run_ids.py
@@ -23,6 +23,7 @@
 FILE_NAME = "run-ids"
 FILE_BYTES = 2 * WORD_BYTES * WAYS * SETS  # a digest and a time for each id
 LOCK_ATTEMPTS = 3
+SHARED_IDS_DESCRIPTORS = 2  # of the file, and of its mapping
 MS = 1000
 log = logging.getLogger(__name__)
 
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -220,7 +220,9 @@
 
     def answer_progress(self) -> AnswerProgress | None:
         """Return how far an answer has come that has begun and may be long; None if there is none."""
-        if self._in_head or self._malformed or (self._length is not None and not self._exceeds_buffer):
+        if self._in_head or self._malformed or not self._is_served:
+            return None
+        if self._length is not None and not self._exceeds_buffer:
             return None
         idle_s = 0.0 if self._reading_paused else self._pool.upstream.active_time_s() - self.last_progress_s
         return AnswerProgress(self._body_bytes, idle_s)
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -21,6 +21,7 @@
 from cloverrouter.proxy.node import Node, max_timeout_ms
 from cloverrouter.proxy.observer import with_observer
 from cloverrouter.proxy.presence import Presence
+from cloverrouter.proxy.run_ids import SHARED_IDS_DESCRIPTORS
 from cloverrouter.proxy.shutdown import KILL_MARGIN_S, MAX_DEADLINE_S, drain
 from cloverrouter.proxy.signals import EarlySignals
 from cloverrouter.proxy.startup import retry
@@ -81,6 +82,8 @@
     extra_descriptors, operator_calls = 0, descriptors.max_operator_calls(current.sockets)
     if current.management is not None:
         extra_descriptors += descriptors.MANAGEMENT_DESCRIPTORS + operator_calls
+    if presence is not None:
+        extra_descriptors += SHARED_IDS_DESCRIPTORS
     if site is not None:
         # A disabled extension is not imported: extensions are reached through this import alone.
         from cloverrouter import compose
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -99,6 +99,13 @@
     assert given_up_s is None
 
 
+# Guards against: a long answer that was streamed by its size, as the time ran out, is cut off in a pause.
+def test_answer_that_has_proved_to_be_long_is_not_given_up_in_a_pause() -> None:
+    streamed_s, given_up_s = decide(lambda at_s: 70_000 if at_s > 0.52 else 0)
+    assert given_up_s is None
+    assert streamed_s is None  # by this watch: it has been before
+
+
 # Guards against: an answer that stops, or trickles for ever, keeps its client without a final answer.
 @pytest.mark.parametrize("part_bytes", [1, 5000])
 def test_answer_that_stopped_is_given_up_unstreamed_within_the_grace(part_bytes: int) -> None:
