Processes under failing system calls start as the deploy file's run does

Traced: the wrapper that makes system calls fail called service.main() past cloverrouter.proxy.__main__, so its processes had no Presence, counted as one each and shared no ids; the log of a shared table was not there.

--- a/tests/faults/faulty_sockets.py
+++ b/tests/faults/faulty_sockets.py
@@ -185,9 +185,11 @@
     install(Plan(Path(os.environ["PROXY_FAULTS"])))
     if os.environ.get("PROXY_SHORT_IO"):
         shorten_io()
-    from cloverrouter.proxy.service import main as serve
+    from cloverrouter.proxy.__main__ import (
+        main as start,
+    )  # processes of an upgrade find each other
 
-    return serve()
+    return start()
 
 
 if __name__ == "__main__":
