Known red: a server that only unsafe requests could try again is never tried

Traced so far: discovery had told of the server ('discovery back'), 500 requests went to the other one. All requests of the test are unsafe, and a suspected server is tried by such as may be repeated only, so that with signals against it (a connect that takes over 0.25 s on a busy machine) it is out for good. The trace has them now.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -547,6 +547,7 @@
     def report_signal(self, name: str, signal: ConnectionSignal) -> None:
         """Report a connection signal of a listed host to the balancer."""
         if name in self._addresses:
+            self._record("signal", name, signal.value)
             self.dispatch(ConnectionSignalObserved(name, signal))
 
     def _timed_out(self, attempt: OpenAttempt) -> None:
