A start time in the future, and a new host without one, at a reused address

The start counts up to now; a change that names a host newly at an address is the latest news, and start times decide in whole lists and for hosts that lost the address before. Both tests failed before (tests/test_listed.py, tests/test_address_book.py).

--- a/cloverrouter/proxy/address_book.py
+++ b/cloverrouter/proxy/address_book.py
@@ -36,7 +36,7 @@
         entries: dict[str, HostEntry] = {}
         for entry in listing.entries:
             self._note_restart(entry, previous)
-            for changed in self._apply_entry(entry):
+            for changed in self._apply_entry(entry, kind is not ListKind.DELTA):
                 entries.pop(changed.listed.name, None)  # the last change of a host comes last
                 entries[changed.listed.name] = changed
         if kind is not ListKind.DELTA:  # what a whole list does not name is gone
@@ -49,8 +49,12 @@
         if before is not None and same_host and started_ms(before) < started_ms(entry):
             self.restarted.append(entry)
 
-    def _apply_entry(self, entry: HostEntry) -> Iterable[HostEntry]:
-        """Apply one entry; return the entries that change by it."""
+    def _apply_entry(self, entry: HostEntry, of_whole_list: bool) -> Iterable[HostEntry]:
+        """Apply one entry; return the entries that change by it.
+
+        A change that names a host at the address of another one is the latest that is known of it, unless
+        that host has lost the address before. In a whole list the start times decide.
+        """
         name, address = entry.listed.name, entry.address
         if entry.listed.state is not EndpointState.READY or address is None:
             self._superseded.pop(name, None)
@@ -60,7 +64,9 @@
         if owner is None or owner.listed.name == name:
             self._assign(entry, address)
             return [entry]
-        if self._superseded.get(name) == entry or started_ms(entry) < started_ms(owner):
+        is_older = started_ms(entry) < started_ms(owner)
+        superseded = self._superseded.get(name)
+        if superseded == entry or (is_older and (of_whole_list or superseded is not None)):
             self._release(name)
             self._superseded[name] = entry
             return [gone(name)]
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -686,7 +686,9 @@
         self.errors.run("connections_kept", lambda: self.carrier.keep_only(self._addresses.items()))
         for entry in self._address_book.restarted:
             if entry.address is not None and entry.listed.started_ms is not None:
-                host, started_s = (entry.listed.name, entry.address), entry.listed.started_ms / 1000
+                host = (entry.listed.name, entry.address)
+                # The server's clock may be ahead of this one.
+                started_s = min(entry.listed.started_ms / 1000, self._loop.time())
                 self.errors.run("connections_older", partial(self.carrier.discard_older, host, started_s))
         self._record("listed", found.version, f"{kind.name} of {len(found.entries)}")
         self.dispatch(EndpointsListed(kind, tuple(entry.listed for entry in found.entries)))
--- a/tests/test_address_book.py
+++ b/tests/test_address_book.py
@@ -35,6 +35,16 @@
     assert book.addresses == {"b": ("127.0.0.1", 2), "c": ("127.0.0.1", 1)}
 
 
+# Guards against: a new host that is listed without its start is never used, where the old one's was told.
+def test_new_host_without_a_start_takes_the_address_of_one_with_a_start() -> None:
+    book = AddressBook()
+    book.apply(ListKind.FULL, listing(entry("a", 1, started_ms=5.0), full=True))
+    found = book.apply(ListKind.DELTA, listing(entry("c", 1)))
+    assert states(found) == {"a": EndpointState.GONE, "c": EndpointState.READY}
+    book.apply(ListKind.DELTA, listing(entry("a", 1, state=EndpointState.GONE)))
+    assert set(book.addresses) == {"c"}
+
+
 def test_late_entry_of_the_old_host_does_not_take_the_address_back() -> None:
     book = AddressBook()
     book.apply(ListKind.FULL, listing(entry("a", 1), full=True))
--- a/tests/test_listed.py
+++ b/tests/test_listed.py
@@ -13,6 +13,7 @@
 from cloverrouter.proxy.config import Address, HostEntry, HostList, read_settings
 from cloverrouter.proxy.exchange import Host
 from cloverrouter.proxy.node import Node
+from cloverrouter.values import replace
 
 STATES = (EndpointState.READY, EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE)
 
@@ -93,6 +94,16 @@
     assert len(carrier.kept) == 4096
 
 
+# Guards against: a start time in the future, from a skewed clock, ends the reuse of a host's connections.
+def test_connections_from_before_a_start_in_the_future_are_discarded_up_to_now_only() -> None:
+    node, carrier = node_of(1)
+    before = entry("s-1", 4001)
+    node.listed(ListKind.FULL, HostList(1, True, (before,)))
+    started = replace(before, listed=replace(before.listed, started_ms=1e12))
+    node.listed(ListKind.DELTA, HostList(2, False, (started,)))
+    assert carrier.discarded == [(("s-1", ("127.0.0.1", 4001)), node._loop.time())]
+
+
 def test_new_hosts_are_preconnected_in_the_order_of_the_list() -> None:
     node, carrier = node_of(1)
     node.listed(ListKind.FULL, HostList(1, True, (entry("old", 4000), entry("s-7", 4001))))
