--- a/review/7/case.py
+++ b/review/7/case.py
@@ -52,6 +52,7 @@
 
     async def answer(host: Host, message: Message, writer: asyncio.StreamWriter) -> None:
         runs[host.name] += 1
+        record(f"{host.name} runs {message.fields['x-request-id']}")
         await asyncio.sleep(draw.uniform(*WORK_S))
         writer.write(ok(b"done"))
 
@@ -77,13 +78,16 @@
             try:
                 if writer is None:
                     reader, writer = await asyncio.open_connection(*proxy.listen)
-                writer.write(request("POST", "entry-register", f"e{number:04d}-{turn}", 900, body))
+                identifier = f"e{number:04d}-{turn}"
+                writer.write(request("POST", "entry-register", identifier, 900, body))
                 asked = True
+                record(f"client {number} sends {identifier}")
                 head = await read_head(reader)
                 if head is None:
                     raise ConnectionResetError
                 await read_body(reader, head[1])
                 statuses[head[0][1]] += 1
+                record(f"client {number} gets {head[0][1]} for {identifier}")
                 if head[1].get("connection", "").lower() == "close":
                     writer.close()
                     writer = None
