Count answers that are passed on before they are known to be long

What a carrier tells of an answer names what is known of its length (AnswerLength) instead of leaving declared short ones out. No change in behaviour.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -91,15 +91,12 @@
         return self.reply.received_bytes
 
     def answer_progress(self) -> AnswerProgress | None:
-        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        """Return how far an answer has come whose head is complete; None if there is none."""
         reply = self.reply
         if self.connection is None or reply.status != 200:
             return None
-        if reply.length is not None and not reply.exceeds_buffer:
-            return None
-        return AnswerProgress(
-            reply.received_bytes, 0.0 if self.answer_paused else self.connection.idle_s(self)
-        )
+        idle_s = 0.0 if self.answer_paused else self.connection.idle_s(self)
+        return AnswerProgress(reply.received_bytes, idle_s, reply.length, self.answer_paused)
 
     def stream_answer(self) -> bool:
         """Start to stream an answer that has begun and may be long; return whether it is streamed."""
--- a/cloverrouter/proxy/carrier.py
+++ b/cloverrouter/proxy/carrier.py
@@ -27,7 +27,7 @@
         """How many bytes of an answer have been received."""
 
     def answer_progress(self) -> AnswerProgress | None:
-        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        """Return how far an answer has come whose head is complete; None if there is none."""
 
     def stream_answer(self) -> bool:
         """Start to stream an answer that has begun and may be long; return whether it is streamed."""
--- a/cloverrouter/proxy/exchange.py
+++ b/cloverrouter/proxy/exchange.py
@@ -98,7 +98,7 @@
         return self.connection.received_bytes if self.connection is not None else 0
 
     def answer_progress(self) -> AnswerProgress | None:
-        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        """Return how far an answer has come whose head is complete; None if there is none."""
         return self.connection.answer_progress() if self.connection is not None else None
 
     def stream_answer(self) -> bool:
--- a/cloverrouter/proxy/load.py
+++ b/cloverrouter/proxy/load.py
@@ -14,6 +14,7 @@
 from enum import Enum
 
 from cloverrouter.proxy.memory import resident_mb
+from cloverrouter.proxy.messages import AnswerLength
 
 LOG_INTERVAL_S = 1.0
 NOTEWORTHY_DELAY_S = 0.05  # in the listen queue
@@ -72,6 +73,12 @@
         """Record a request refused ahead of the balancer's decisions."""
         self._count(f"refused_{reason.value}")
 
+    def answer_begun(self, length: AnswerLength) -> None:
+        """Record that an answer is streamed; one that is not known to be long only for lack of memory, or
+        since its time is over."""
+        if length is not AnswerLength.LONG:
+            self._count(f"answers_begun_{length.value}")
+
     def paused(self, span_s: float, cause: str) -> None:
         """Record that the event loop did not poll its sockets for `span_s` seconds."""
         self._count(f"paused_{cause.replace(' ', '_')}")
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple, Protocol
 
 from cloverrouter.values import Value
@@ -25,11 +26,28 @@
     waited_ms: float | None = None  # unread in the socket while this process was paused; None: not known
 
 
+class AnswerLength(Enum):
+    """What is known of the length of an answer that has not ended."""
+
+    SHORT = "short"  # declared, and at most `STREAMING_THRESHOLD_BYTES`: due as a whole
+    UNDECLARED = "undeclared"  # not declared, and so far it may be either
+    LONG = "long"  # above the threshold, by declaration or by what has come: only its first bytes are due
+
+
 class AnswerProgress(NamedTuple):
-    """How far an answer has come whose server has not declared a short length."""
+    """How far an answer has come whose head is complete."""
 
     body_bytes: int  # received so far
     idle_s: float  # seconds in which the server has sent nothing, although it could have
+    declared_bytes: int | None = None  # the length of its body, if the server has declared it
+    client_is_slow: bool = False  # the server is not read, since the client does not read
+
+    @property
+    def length(self) -> AnswerLength:
+        """What is known of its length."""
+        if max(self.body_bytes, self.declared_bytes or 0) > STREAMING_THRESHOLD_BYTES:
+            return AnswerLength.LONG
+        return AnswerLength.UNDECLARED if self.declared_bytes is None else AnswerLength.SHORT
 
 
 class AnswerSink(Protocol):
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -52,7 +52,7 @@
 from cloverrouter.proxy.lag import LagMeter
 from cloverrouter.proxy.late_answers import LateAnswer
 from cloverrouter.proxy.load_report import read_report
-from cloverrouter.proxy.messages import Answer, AnswerSink, Call
+from cloverrouter.proxy.messages import Answer, AnswerLength, AnswerSink, Call
 from cloverrouter.proxy.observer import AttemptResult, Observer, RequestResult
 from cloverrouter.proxy.open_requests import OpenAttempt, OpenRequest
 from cloverrouter.proxy.run_ids import RunIds
@@ -115,6 +115,7 @@
         self.pause_detector = pause_detector_of(self._loop)
         self.pause_detector.on_pause.append(self._on_pause)
         self.observer: Observer | None = None
+        self.on_answer_begun: Callable[[AnswerLength], None] = lambda length: None
         self.admission: Admission | None = None
 
     # The balancer's clock, events and actions
@@ -562,7 +563,8 @@
     def _end_overdue(self, attempt: OpenAttempt, outcome: Outcome) -> None:
         """End an attempt whose time is over, unless its server is writing an answer that may be long."""
         exchange, request = attempt.exchange, attempt.request
-        if exchange is None or exchange.answer_progress() is None:
+        progress = exchange.answer_progress() if exchange is not None else None
+        if exchange is None or progress is None or progress.length is AnswerLength.SHORT:
             self._give_up(attempt, outcome)
             return
         due_ms = request.deadline_ms
@@ -612,6 +614,10 @@
         if sink is None:
             return None
         self._streaming[request.call], attempt.sink = attempt, sink
+        progress = attempt.exchange.answer_progress() if attempt.exchange is not None else None
+        if progress is not None:
+            self._record("answer_begun", request.call.request_id, (attempt.host[0], *progress))
+            self.on_answer_begun(progress.length)
         self._claim_unanswered(request.id)
         if attempt.timer is not None:
             attempt.timer.cancel()
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -219,13 +219,11 @@
         return True
 
     def answer_progress(self) -> AnswerProgress | None:
-        """Return how far an answer has come that has begun and may be long; None if there is none."""
+        """Return how far an answer has come whose head is complete; None if there is none."""
         if self._in_head or self._malformed or not self._is_served:
             return None
-        if self._length is not None and not self._exceeds_buffer:
-            return None
         idle_s = 0.0 if self._reading_paused else self._pool.upstream.active_time_s() - self.last_progress_s
-        return AnswerProgress(self._body_bytes, idle_s)
+        return AnswerProgress(self._body_bytes, idle_s, self._length, self._reading_paused)
 
     def _stream_body(self) -> None:
         """Stream the body to the client as it arrives, as fast as the client reads it."""
--- a/cloverrouter/proxy/service.py
+++ b/cloverrouter/proxy/service.py
@@ -216,6 +216,7 @@
     gate.retry_after_ms = retry_after_ms(current.settings)
     frontend = Frontend(gate, budget.clients, buffer_bytes, current.memory_mb)
     upstream.memory = frontend.memory
+    node.on_answer_begun = frontend.load.answer_begun
     if appliance is not None:
         await appliance.start(frontend)
     try:
