End short answers in their time that are passed on for lack of memory

Cause: Node._begin_stream cancelled the attempt's timer for each answer that is passed on, but a short one is passed on where there is no memory to hold it, and is due as a whole.

One of undeclared length is not begun for lack of memory any more: it is held within the budget, then by a place in a reserve, else not read for a while.

--- a/cloverrouter/proxy/late_answers.py
+++ b/cloverrouter/proxy/late_answers.py
@@ -2,7 +2,8 @@
 
 Above 64 KiB only the first bytes of an answer are due within the request's time. Where a server has not
 declared the length, its answer may be long: it is streamed once that time is over. An answer that proves to
-be short was due as a whole, so one that does not come any more is cut off, which its client can detect.
+be short was due as a whole, so one that does not come any more is cut off, which its client can detect. One
+that is declared short is streamed only for lack of memory, and remains due as a whole.
 """
 
 from __future__ import annotations
@@ -20,6 +21,26 @@
 MIN_BYTES_PER_S = 4096.0  # of a streamed answer that may still prove to be short
 
 
+class StreamedShortAnswer:
+    """Ends an answer that is due as a whole, and is streamed for lack of memory, before it is lost."""
+
+    def __init__(self, loop: Loop, exchange: SentAttempt, due_s: float, give_up: Callable[[], None]) -> None:
+        """`due_s`: when the request's time is over; `give_up` is called if the answer has not ended then."""
+        self._loop, self._exchange, self._give_up = loop, exchange, give_up
+        self._timer = loop.call_later(max(0.0, due_s + GRACE_S - loop.time()), self._check)
+
+    def stop(self) -> None:
+        """End the watch: the attempt has ended."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        progress = self._exchange.answer_progress()
+        if progress is not None and progress.client_is_slow:
+            self._timer = self._loop.call_later(GRACE_S, self._check)  # its end is up to the client
+        else:
+            self._give_up()
+
+
 class LateAnswer:
     """Decides about one answer, from the end of its attempt's time until it has proved to be long."""
 
--- a/cloverrouter/proxy/memory.py
+++ b/cloverrouter/proxy/memory.py
@@ -8,6 +8,8 @@
 
 import os
 
+from cloverrouter.proxy.messages import STREAMING_THRESHOLD_BYTES
+
 
 def resident_mb() -> float:
     """Return the resident memory of this process in MiB (proc(5), statm); 0 where it can't be read."""
@@ -36,6 +38,10 @@
 MIN_BUDGET_BYTES = 1024 * 1024
 FREE_BYTES = 4096  # held by a connection at no charge
 SMALL_READ_BYTES = 2048  # read at once while the budget is exhausted
+# Answers of undeclared length can't be passed on early. Beyond the budget, as many as fit into this part
+# of it may be held whole at a time, so that some of them always come to their end.
+ANSWER_RESERVE_DIVISOR = 4
+MIN_RESERVED_ANSWERS = 4
 
 
 def message_budget_bytes(memory_mb: float, processes: int = 1) -> int:
@@ -50,11 +56,18 @@
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
+        self.reserved_answers = 0  # that may be held whole, beyond the limit
 
     @property
     def exhausted(self) -> bool:
         return self.held_bytes >= self.limit_bytes
 
+    @property
+    def max_reserved_answers(self) -> int:
+        """How many answers may be held whole beyond the limit."""
+        reserve_bytes = self.limit_bytes // ANSWER_RESERVE_DIVISOR
+        return max(MIN_RESERVED_ANSWERS, reserve_bytes // STREAMING_THRESHOLD_BYTES)
+
     def view(self, buffer: memoryview) -> memoryview:
         """Return the part of a read buffer that may be filled now."""
         return buffer[:SMALL_READ_BYTES] if self.held_bytes >= self.limit_bytes else buffer
@@ -63,11 +76,12 @@
 class MemoryAccount:
     """What one connection holds of messages."""
 
-    __slots__ = ("_budget", "_charged_bytes")
+    __slots__ = ("_budget", "_charged_bytes", "_is_reserved")
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._budget = budget
         self._charged_bytes = 0
+        self._is_reserved = False  # it has a place in the reserve for answers
 
     def hold(self, size: int) -> None:
         """Record that the connection holds `size` bytes now; 0 at its end."""
@@ -75,8 +89,22 @@
         if charged != self._charged_bytes:
             self._budget.held_bytes += charged - self._charged_bytes
             self._charged_bytes = charged
+        if not size and self._is_reserved:
+            self._budget.reserved_answers -= 1
+            self._is_reserved = False
 
     def may_hold(self, size: int) -> bool:
         """Whether the connection may hold `size` bytes: no more than before, or within the budget."""
         growth = size - FREE_BYTES - self._charged_bytes
         return growth <= 0 or self._budget.held_bytes + growth <= self._budget.limit_bytes
+
+    def may_hold_answer(self, size: int) -> bool:
+        """Whether the connection may hold `size` bytes of an answer of undeclared length: within the budget,
+        or else by a place in the reserve, which the connection keeps until it holds nothing."""
+        if self._is_reserved or self.may_hold(size):
+            return True
+        if self._budget.reserved_answers >= self._budget.max_reserved_answers:
+            return False
+        self._budget.reserved_answers += 1
+        self._is_reserved = True
+        return True
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -50,7 +50,7 @@
 from cloverrouter.proxy.config import HostList
 from cloverrouter.proxy.containment import contained_errors_of
 from cloverrouter.proxy.lag import LagMeter
-from cloverrouter.proxy.late_answers import LateAnswer
+from cloverrouter.proxy.late_answers import LateAnswer, StreamedShortAnswer
 from cloverrouter.proxy.load_report import read_report
 from cloverrouter.proxy.messages import Answer, AnswerLength, AnswerSink, Call
 from cloverrouter.proxy.observer import AttemptResult, Observer, RequestResult
@@ -562,18 +562,22 @@
 
     def _end_overdue(self, attempt: OpenAttempt, outcome: Outcome) -> None:
         """End an attempt whose time is over, unless its server is writing an answer that may be long."""
-        exchange, request = attempt.exchange, attempt.request
+        exchange = attempt.exchange
         progress = exchange.answer_progress() if exchange is not None else None
         if exchange is None or progress is None or progress.length is AnswerLength.SHORT:
             self._give_up(attempt, outcome)
             return
-        due_ms = request.deadline_ms
-        if due_ms is None:
-            due_ms = request.call.arrived_ms + self._max_timeout_ms
-        attempt.late_answer = LateAnswer(
-            self._loop, exchange, due_ms / 1000, partial(self._give_up_answer, attempt, outcome)
+        attempt.answer_watch = LateAnswer(
+            self._loop, exchange, self._due_s(attempt), partial(self._give_up_answer, attempt, outcome)
         )
 
+    def _due_s(self, attempt: OpenAttempt) -> float:
+        """Return when the time of the attempt's request is over."""
+        due_ms = attempt.request.deadline_ms
+        if due_ms is None:
+            due_ms = attempt.request.call.arrived_ms + self._max_timeout_ms
+        return due_ms / 1000
+
     def _give_up_answer(self, attempt: OpenAttempt, outcome: Outcome) -> None:
         """Give up an answer that has begun and does not go on; one that is streamed is cut off."""
         if attempt.sink is not None:
@@ -606,7 +610,10 @@
         self._attempt_ended(attempt, outcome, None)
 
     def _begin_stream(self, attempt: OpenAttempt, answer: Answer) -> AnswerSink | None:
-        """Start to stream an answer to the client; from here on the proxy's timeouts no longer apply."""
+        """Start to stream an answer to the client.
+
+        The timeout of the attempt ends with that. An answer that is not long is still due as a whole.
+        """
         request = attempt.request
         if request.answered or attempt.number not in request.attempts:
             return None
@@ -614,17 +621,30 @@
         if sink is None:
             return None
         self._streaming[request.call], attempt.sink = attempt, sink
-        progress = attempt.exchange.answer_progress() if attempt.exchange is not None else None
-        if progress is not None:
-            self._record("answer_begun", request.call.request_id, (attempt.host[0], *progress))
-            self.on_answer_begun(progress.length)
         self._claim_unanswered(request.id)
         if attempt.timer is not None:
             attempt.timer.cancel()
+        self._answer_begun(attempt)
         attempt.first_byte_ms, _ = self._server_latency_ms(attempt, Outcome.OK, answer)
         self.dispatch(StreamStarted(request.id, attempt.number, attempt.first_byte_ms))
         return sink
 
+    def _answer_begun(self, attempt: OpenAttempt) -> None:
+        """Record that an answer is streamed, and watch the time of one that is due as a whole."""
+        exchange = attempt.exchange
+        progress = exchange.answer_progress() if exchange is not None else None
+        if exchange is None or progress is None:
+            return
+        self._record("answer_begun", attempt.request.call.request_id, (attempt.host[0], *progress))
+        self.on_answer_begun(progress.length)
+        if progress.length is AnswerLength.SHORT:
+            attempt.answer_watch = StreamedShortAnswer(
+                self._loop,
+                exchange,
+                self._due_s(attempt),
+                partial(self._give_up_answer, attempt, Outcome.TIMEOUT),
+            )
+
     def _attempt_ended(self, attempt: OpenAttempt, outcome: Outcome, answer: Answer | None) -> None:
         request = attempt.request
         if request.attempts.pop(attempt.number, None) is None:
--- a/cloverrouter/proxy/open_requests.py
+++ b/cloverrouter/proxy/open_requests.py
@@ -5,7 +5,7 @@
 from cloverrouter.clock import Handle
 from cloverrouter.proxy.carrier import SentAttempt
 from cloverrouter.proxy.exchange import Host
-from cloverrouter.proxy.late_answers import LateAnswer
+from cloverrouter.proxy.late_answers import LateAnswer, StreamedShortAnswer
 from cloverrouter.proxy.messages import AnswerSink, Call
 from cloverrouter.proxy.observer import AttemptResult
 
@@ -14,11 +14,11 @@
     """An attempt in flight at a server."""
 
     __slots__ = (
+        "answer_watch",
         "exchange",
         "expires_ms",
         "first_byte_ms",
         "host",
-        "late_answer",
         "number",
         "request",
         "sent_active_ms",
@@ -38,14 +38,15 @@
         self.exchange: SentAttempt | None = None
         self.sink: AnswerSink | None = None  # receives the body of a streamed answer
         self.timer: Handle | None = None
-        self.late_answer: LateAnswer | None = None
+        # Ends an answer that has begun, and may not be waited for.
+        self.answer_watch: LateAnswer | StreamedShortAnswer | None = None
 
     def stop_timers(self) -> None:
         """Cancel the timers of an attempt that ends."""
         if self.timer is not None:
             self.timer.cancel()
-        if self.late_answer is not None:
-            self.late_answer.stop()
+        if self.answer_watch is not None:
+            self.answer_watch.stop()
 
 
 class OpenRequest:
--- a/cloverrouter/proxy/server_connection.py
+++ b/cloverrouter/proxy/server_connection.py
@@ -15,7 +15,7 @@
 
 from cloverrouter.interface import Outcome
 from cloverrouter.proxy.exchange import Exchange, encode_chunk, outcome_of
-from cloverrouter.proxy.memory import MemoryAccount
+from cloverrouter.proxy.memory import SMALL_READ_BYTES, MemoryAccount
 from cloverrouter.proxy.messages import (
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
@@ -35,6 +35,7 @@
 MAX_RESPONSE_BYTES = 2 * MAX_BODY_BYTES  # of one answer, with heads and chunk framing
 # A read may hold a whole head, or the end of a body, beside the part that has no byte of a body.
 MAX_OVERHEAD_BYTES = MAX_HEAD_BYTES + READ_BUFFER_BYTES
+MEMORY_CHECK_INTERVAL_S = 0.02  # while an answer is not read for lack of memory
 STALL_TIMEOUT_S = 10.0  # a streamed body without progress for this time is aborted
 log = logging.getLogger(__name__)
 
@@ -51,6 +52,7 @@
         self.received_bytes = 0
         self._sink: AnswerSink | None = None  # receiver of the answer that is being streamed
         self._reading_paused = False  # backpressure: the client reads too slowly
+        self._memory_timer: asyncio.TimerHandle | None = None  # set while it is not read for lack of memory
         self.last_progress_s = 0.0  # of the last byte, on the clock that excludes process pauses
         self._unread_ms: float | None = 0.0  # how long the last read data was in the socket; None: unknown
         self._memory = MemoryAccount(pool.upstream.memory)
@@ -132,6 +134,7 @@
     def abort(self) -> None:
         self._aborted = True
         self._exchange = None
+        self._end_memory_pause()
         self._memory.hold(0)
         self._pool.discard(self)
         if self._transport is not None:
@@ -197,12 +200,43 @@
             self._buffer_body()
 
     def _buffer_body(self) -> None:
-        """Keep a part of a short answer, or stream it at once if the memory for it is not there."""
-        if not self._memory.may_hold(len(self._body)) and self._begin_stream():
+        """Keep a part of an answer that is not known to be long.
+
+        If the memory for it is not there, one of declared length is streamed. One without is not read until
+        there is memory, since it must not begin early (`late_answers`).
+        """
+        if self._length is None:
+            if not self._in_head and not self._memory.may_hold_answer(len(self._body)):
+                self._pause_for_memory()
+        elif not self._memory.may_hold(len(self._body)) and self._begin_stream():
             self._forward_body()
         if self._exchange is not None:
             self._memory.hold(len(self._body))
 
+    def _pause_for_memory(self) -> None:
+        if self._transport is not None and self._memory_timer is None:
+            self._transport.pause_reading()
+            self._wait_for_memory()
+
+    def _wait_for_memory(self) -> None:
+        loop = self._pool.upstream.loop
+        self._memory_timer = loop.call_later(MEMORY_CHECK_INTERVAL_S, self._read_if_memory)
+
+    def _read_if_memory(self) -> None:
+        """Go on reading the answer if there is memory for the next part of it."""
+        if self._memory.may_hold_answer(len(self._body) + SMALL_READ_BYTES):
+            self._end_memory_pause()
+        else:
+            self._wait_for_memory()
+
+    def _end_memory_pause(self) -> None:
+        """Go on reading the answer, if it was paused for lack of memory."""
+        timer, self._memory_timer = self._memory_timer, None
+        if timer is not None:
+            timer.cancel()
+            if self._transport is not None:
+                self._transport.resume_reading()
+
     @property
     def _exceeds_buffer(self) -> bool:
         """Whether the answer is known to be too long to be buffered as a whole."""
@@ -215,6 +249,7 @@
             return True
         if self.answer_progress() is None or not self._begin_stream():
             return False
+        self._end_memory_pause()
         self._forward_body()
         return True
 
@@ -222,7 +257,9 @@
         """Return how far an answer has come whose head is complete; None if there is none."""
         if self._in_head or self._malformed or not self._is_served:
             return None
-        idle_s = 0.0 if self._reading_paused else self._pool.upstream.active_time_s() - self.last_progress_s
+        idle_s = self._pool.upstream.active_time_s() - self.last_progress_s
+        if self._reading_paused or (self._memory_timer is not None and has_unread_data(self._sock)):
+            idle_s = 0.0  # it is this process that does not read
         return AnswerProgress(self._body_bytes, idle_s, self._length, self._reading_paused)
 
     def _stream_body(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+# Imported before any test: pytest parses it on import, and CPython 3.11.6 fails to parse (gh-106905) while a
+# garbage collection logs the traceback of a task that a failed test has left behind.
+import hypothesis  # noqa: F401
 import pytest
 
 from tests.known_red import KnownRedError, read
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverrouter.proxy.late_answers import GRACE_S, LateAnswer
+from cloverrouter.proxy.late_answers import GRACE_S, LateAnswer, StreamedShortAnswer
 from cloverrouter.proxy.messages import AnswerProgress
 
 DUE_S = 1.0
@@ -51,8 +51,15 @@
     signal = None
     written = begun = True
 
-    def __init__(self, loop: ManualLoop, received: Timeline) -> None:
-        self._loop, self._received = loop, received
+    def __init__(
+        self,
+        loop: ManualLoop,
+        received: Timeline,
+        declared_bytes: int | None = None,
+        slow_client_until_s: float = 0.0,
+    ) -> None:
+        self._loop, self._received, self._declared_bytes = loop, received, declared_bytes
+        self._slow_client_until_s = slow_client_until_s
         self.streamed_s: float | None = None
 
     @property
@@ -63,7 +70,8 @@
         now_s, count = self._loop.now_s, self.received_bytes
         steps = (i / 100 for i in range(int(now_s * 100), -1, -1))
         changed_s = next((s for s in steps if self._received(s) < count), 0.0)
-        return AnswerProgress(count, now_s - changed_s)
+        client_is_slow = now_s < self._slow_client_until_s
+        return AnswerProgress(count, now_s - changed_s, self._declared_bytes, client_is_slow)
 
     def stream_answer(self) -> bool:
         self.streamed_s = self.streamed_s or self._loop.now_s
@@ -137,3 +145,29 @@
     LateAnswer(loop, attempt, DUE_S, lambda: pytest.fail("given up")).stop()
     loop.run(5.0)
     assert attempt.streamed_s is None
+
+
+def end_of_short_answer(received: Timeline, slow_client_until_s: float = 0.0) -> float | None:
+    """Return when an answer of 60 kB, which is streamed, was given up."""
+    loop, given_up = ManualLoop(), []
+    attempt = FakeAttempt(loop, received, 60_000, slow_client_until_s)
+    StreamedShortAnswer(loop, attempt, DUE_S, lambda: given_up.append(loop.now_s))
+    loop.run(10.0)
+    return given_up[0] if given_up else None
+
+
+# Guards against: a short answer that was passed on for lack of memory is not ended when it is due as a whole.
+@pytest.mark.parametrize(
+    "received", [lambda at_s: 40_000, lambda at_s: int(20_000 * at_s)], ids=["paused", "goes-on"]
+)
+def test_streamed_short_answer_that_has_not_ended_is_given_up_before_it_is_lost(received: Timeline) -> None:
+    given_up_s = end_of_short_answer(received)
+    assert given_up_s is not None
+    assert DUE_S < given_up_s < DUE_S + LOST_AFTER_S
+
+
+# Guards against: a short answer is cut off because its own client reads it slowly.
+def test_streamed_short_answer_is_not_given_up_while_its_client_does_not_read() -> None:
+    given_up_s = end_of_short_answer(lambda at_s: 40_000, slow_client_until_s=3.0)
+    assert given_up_s is not None
+    assert 3.0 <= given_up_s <= 3.0 + GRACE_S
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -15,6 +15,7 @@
 from cloverrouter.proxy.memory import (
     FREE_BYTES,
     MIN_BUDGET_BYTES,
+    MIN_RESERVED_ANSWERS,
     SMALL_READ_BYTES,
     MemoryAccount,
     MemoryBudget,
@@ -155,3 +156,16 @@
         assert proxy.frontend.memory.held_bytes == 0
 
     run_scene_with_cleanup(scene)
+
+
+# Guards against: answers that may not be passed on early each hold a part, and none comes to its end.
+def test_reserve_holds_some_answers_whole_and_is_given_back() -> None:
+    budget = MemoryBudget(1_000_000)
+    MemoryAccount(budget).hold(1_100_000)
+    accounts = [MemoryAccount(budget) for _ in range(MIN_RESERVED_ANSWERS + 1)]
+    held = [account.may_hold_answer(10_000) for account in accounts]
+    assert held == [True] * MIN_RESERVED_ANSWERS + [False]
+    accounts[0].hold(10_000)
+    assert accounts[0].may_hold_answer(60_000)
+    accounts[0].hold(0)
+    assert accounts[-1].may_hold_answer(10_000)
