Free what a request held when its attempts end, not when garbage is collected

Cause: an ended attempt was part of reference cycles: exchange.on_begin, fired timers, the watch of a late answer, Upload.on_end, the timer of begin_within_ms; over HTTP/3 the upload's and the streamed answer's callbacks.

Change: an exchange, an attempt and an upload drop what refers back to them when they end; the recorder keeps the text of a connect's error, not its traceback. front_load tells gc_objects.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -104,13 +104,20 @@
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, unless the attempt was abandoned or has ended."""
-        on_end, self.on_end = self.on_end, None
+        on_end = self.on_end
+        self._release()
         if on_end is not None:
             on_end(outcome, answer)
 
+    def _release(self) -> None:
+        """Drop what would keep the request, with its body, in a reference cycle."""
+        self.on_end = self.on_begin = self.on_open = self.sink = None
+        if self.call.upload is not None:
+            self.call.upload.detach()
+
     def abandon(self) -> None:
         """Cancel the attempt without calling `on_end`."""
-        self.on_end = None
+        self._release()
         if self.connection is not None:
             self.connection.cancel_attempt(self)
 
--- a/cloverrouter/proxy/exchange.py
+++ b/cloverrouter/proxy/exchange.py
@@ -106,13 +106,19 @@
         return self.connection is not None and self.connection.stream_answer()
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
-        on_end, self.on_end = self.on_end, None
+        on_end = self.on_end
+        self._release()
         if on_end is not None:
             on_end(outcome, answer)
 
+    def _release(self) -> None:
+        """Drop what refers to the request: it would be part of a reference cycle, and its body held on to."""
+        self.on_end = self.on_begin = self.on_open = self.upload = None
+        self.message = b"", b""
+
     def abandon(self) -> None:
         """Cancel the attempt: its connection is closed, and if it is not sent yet it never will be."""
-        self.on_end = None
+        self._release()
         if self.connect_task is not None:
             self.connect_task.cancel()
         if self.connection is not None:
--- a/cloverrouter/proxy/load.py
+++ b/cloverrouter/proxy/load.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import time
 from collections import Counter
@@ -22,6 +23,11 @@
 log = logging.getLogger(__name__)
 
 
+def collected_objects() -> int:
+    """Return how many objects the garbage collector has freed: they were parts of reference cycles."""
+    return sum(generation["collected"] for generation in gc.get_stats())
+
+
 class DeferReason(Enum):
     """Reason for leaving connections in the listen queue for now."""
 
@@ -59,6 +65,7 @@
         self._accept_delay_s = 0.0
         self._pause_s = 0.0
         self._cpu_s = time.process_time()
+        self._collected_objects = collected_objects()
 
     def accepted(self, delay_s: float) -> None:
         """Record an accepted connection, which waited in the queue for at most `delay_s`."""
@@ -96,6 +103,7 @@
     def log_if_noteworthy(self) -> None:
         """Log the counters of the interval that ends now, if noteworthy, and start the next one."""
         cpu_s, self._cpu_s = self._cpu_s, time.process_time()
+        collected_before, self._collected_objects = self._collected_objects, collected_objects()
         memory_mb = resident_mb()
         if self.noteworthy or memory_mb > NOTEWORTHY_MEMORY_SHARE * self._memory_limit_mb:
             count, most = self._connections()
@@ -107,6 +115,7 @@
                 "cpu_ms": round((self._cpu_s - cpu_s) * 1000),
                 "rss_mb": round(memory_mb),
                 "buffered_kb": self._buffered_bytes() // 1024,
+                "gc_objects": self._collected_objects - collected_before,
                 **self._second,
             }
             log.warning("front_load %s", " ".join(f"{name}={value}" for name, value in fields.items()))
--- a/cloverrouter/proxy/messages.py
+++ b/cloverrouter/proxy/messages.py
@@ -79,6 +79,22 @@
         """How much of the body waits for the host to read it."""
 
 
+class EndedBodySink:
+    """The receiver of a request body whose attempt has ended: it takes nothing more."""
+
+    unsent_bytes = 0
+
+    def write_body(self, data: bytes) -> bool:
+        """Drop a piece; False, since no more of them are wanted."""
+        return False
+
+    def finish_body(self) -> None:
+        """Do nothing."""
+
+
+ENDED_BODY_SINK = EndedBodySink()
+
+
 class Upload:
     """The rest of a streamed request body, between the client's connection and an attempt.
 
@@ -130,6 +146,11 @@
         elif ready:
             self._resume()
 
+    def detach(self) -> None:
+        """Drop the attempt, which has ended: what still comes of the body is not sent."""
+        if self._sink is not None:
+            self._sink = ENDED_BODY_SINK
+
     def resume(self) -> None:
         if not self.ended:
             self._resume()
--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -491,6 +491,8 @@
     def _remove_if_finished(self, request: OpenRequest) -> None:
         if request.answered and not request.attempts and self._requests.pop(request.id, None) is not None:
             self._ids.discard(request.call.request_id)
+            if request.call.upload is not None:
+                request.call.upload.on_end = None  # it refers to the request
             if request.registered and not request.may_have_run:
                 self.run_ids.discard(request.call.request_id)
 
@@ -536,7 +538,9 @@
             else None,
         )
         if action.begin_within_ms < timeout_ms and not attempt.exchange.written:
-            self._loop.call_later(action.begin_within_ms / 1000, self._give_up_if_unsent, attempt)
+            attempt.send_timer = self._loop.call_later(
+                action.begin_within_ms / 1000, self._give_up_if_unsent, attempt
+            )
 
     def _register(self, request: OpenRequest) -> bool:
         """Note that a request is sent that must not run twice; False if another process has sent it."""
@@ -651,7 +655,7 @@
             return
         if outcome in MAY_HAVE_RUN or outcome is Outcome.OK:
             request.may_have_run = True
-        attempt.stop_timers()
+        attempt.release()
         latency_ms, uncertain = self._server_latency_ms(attempt, outcome, answer)
         self._record("attempt_ended", request.call.request_id, (attempt.host[0], outcome.value))
         if attempt.first_byte_ms is not None:
--- a/cloverrouter/proxy/open_requests.py
+++ b/cloverrouter/proxy/open_requests.py
@@ -21,6 +21,7 @@
         "host",
         "number",
         "request",
+        "send_timer",
         "sent_active_ms",
         "sent_ms",
         "sink",
@@ -38,15 +39,19 @@
         self.exchange: SentAttempt | None = None
         self.sink: AnswerSink | None = None  # receives the body of a streamed answer
         self.timer: Handle | None = None
+        self.send_timer: Handle | None = None  # ends it if it has not been sent by then
         # Ends an answer that has begun, and may not be waited for.
         self.answer_watch: LateAnswer | StreamedShortAnswer | None = None
 
-    def stop_timers(self) -> None:
-        """Cancel the timers of an attempt that ends."""
-        if self.timer is not None:
-            self.timer.cancel()
+    def release(self) -> None:
+        """Stop the timers of an attempt that ends, and drop what refers to it: a timer that has fired, too,
+        would keep the request with its body in a reference cycle."""
+        for watch in (self.timer, self.send_timer):
+            if watch is not None:
+                watch.cancel()
         if self.answer_watch is not None:
             self.answer_watch.stop()
+        self.timer = self.send_timer = self.answer_watch = self.sink = None
 
 
 class OpenRequest:
--- a/cloverrouter/proxy/upstream.py
+++ b/cloverrouter/proxy/upstream.py
@@ -177,7 +177,7 @@
             _, connection = await self.loop.create_connection(lambda: ServerConnection(pool, sock), sock=sock)
             owned = True
         except OSError as error:
-            self.errors.recorder.record("connect_failed", pool.host[0], error)
+            self.errors.recorder.record("connect_failed", pool.host[0], str(error))
             # A reset during the connect sets no signal: it says nothing about the state of the process.
             if isinstance(error, ConnectionRefusedError):
                 exchange.signal = ConnectionSignal.REFUSED
