Never give an open request the status of the rejected one behind it

Cause: ClientConnection._reject_now had one status for both requests. Evidence: the trace of the open id ends with 'gone', right after 'turned_away 503' of its connection; the decisions did not refuse it.

Change: a Rejection belongs to the rejected request; an open one before it gets 502 at the end of the wait, whatever that status is, and its own answer where there is time: a request without memory waits for as long as its own client does.

--- a/cloverrouter/proxy/client_connection.py
+++ b/cloverrouter/proxy/client_connection.py
@@ -26,9 +26,10 @@
     Upload,
 )
 from cloverrouter.proxy.overload import MAX_DELAY_S
+from cloverrouter.proxy.rejections import Rejection, encode_last_answers
 from cloverrouter.proxy.request_parser import RequestParser
 from cloverrouter.proxy.sockets import half_close, has_unread_data, peer_has_closed, reset
-from cloverrouter.proxy.validity import HEALTH
+from cloverrouter.proxy.validity import HEALTH, parse_integer
 from cloverrouter.proxy.wake import data_age_s
 
 if TYPE_CHECKING:
@@ -89,8 +90,7 @@
         self._parser = RequestParser()
         self._open_call: ClientCall | None = None
         self._queued: deque[ClientCall] = deque()
-        self._deferred_error = 0  # error status of a request behind calls that are answered first
-        self._deferred_since_s = 0.0
+        self._deferred: Rejection | None = None  # of a request behind calls that are answered first
         self._unparsed = b""  # input that was read, and has to wait until fewer calls are queued
         self._ended = False  # an error or the last answer has been sent: further input is discarded
         self._has_requested = False  # a complete request has been received
@@ -127,7 +127,7 @@
         return view
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self._ended or self._deferred_error or self._transport is None:
+        if self._ended or self._deferred or self._transport is None:
             return
         self._unread_from_s = None
         if not self._parser.begun:
@@ -158,10 +158,12 @@
         self._finish_uploads()
         if not self._parser.error_status:
             self._forward_body()
+        answer_within_s = REQUEST_TIMEOUT_S
         if not self._parser.error_status and not self._may_hold_request():
+            answer_within_s = max(answer_within_s, self._declared_timeout_s())
             self._abandon_request()
         if self._parser.error_status:
-            self._reject(self._parser.error_status)
+            self._reject(self._parser.error_status, answer_within_s)
         else:
             self._next()
             self._continue_input()
@@ -171,6 +173,11 @@
         held_bytes = self._parser.held_bytes
         return held_bytes <= FREE_BYTES or self._memory.may_hold(self._held_bytes)
 
+    def _declared_timeout_s(self) -> float:
+        """Return for how long the client waits for the request that is being received; 0 if not declared."""
+        timeout_ms = parse_integer(self._parser.headers.get(b"x-timeout-ms", b""))
+        return (timeout_ms or 0) / 1000
+
     def _abandon_request(self) -> None:
         """Refuse the request that is being received, for lack of memory; it was not forwarded."""
         self._frontend.load.refused(RefusalReason.NO_MEMORY)
@@ -211,7 +218,7 @@
         """Read on, or parse on in a later step of the loop, if calls may be queued."""
         if self._ended or self._transport is None:
             return
-        holds = self._holds_input or self._deferred_error != 0
+        holds = self._holds_input or self._deferred is not None
         if self._unparsed and not holds:
             self._proceed_soon()
         self._set_reading(not holds and not self._unparsed)
@@ -228,8 +235,8 @@
         if self._ended or self._transport is None:
             return
         self._next()
-        if self._deferred_error and not self._has_calls:
-            self._reject_now(self._deferred_error)
+        if self._deferred is not None and not self._has_calls:
+            self._reject_now(self._deferred)
         elif self._unparsed and not self._holds_input:
             self._process_unparsed()
         else:
@@ -526,7 +533,7 @@
     @property
     def _owes_answers(self) -> bool:
         """Whether requests of this connection are to be answered after the open call."""
-        if self._queued or self._unparsed or self._deferred_error:
+        if self._queued or self._unparsed or self._deferred:
             return True
         return self._reading_paused and has_unread_data(self._sock)
 
@@ -587,48 +594,49 @@
     def _release_buffer(self) -> None:
         self._reserved_bytes = self._frontend.buffer_budget.reserve(0, self._reserved_bytes)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, answer_within_s: float = REQUEST_TIMEOUT_S) -> None:
         """Answer an invalid request with an error, after the calls before it, and close the connection.
 
         Nothing that follows it is parsed: after a parse error its framing can't be trusted.
+        `answer_within_s`: how long the calls before it may take.
         """
         if self._transport is None or self._ended:
             return
+        rejection = Rejection(status, self._frontend.active_time_s() + answer_within_s)
         invalid, self._uploading = self._uploading, None  # a call that was admitted with a part of its body
         if invalid is not None and self._queued and self._queued[-1] is invalid:
             self._queued.pop()
             self._gate.queued_ids.discard(invalid.request_id)
         if self._has_calls and (invalid is None or self._open_call is not invalid):
-            self._deferred_error, self._deferred_since_s = status, self._frontend.active_time_s()
+            self._deferred = rejection
             self._upload_paused = False
             self._next()
             self._set_reading(False)
         else:
-            self._reject_now(status)
+            self._reject_now(rejection)
 
-    def _reject_now(self, status: int) -> None:
-        """Write the error and close the connection.
+    def _reject_now(self, rejection: Rejection) -> None:
+        """Write the last answers and close the connection.
 
-        A call that is still open is answered with the error, as a failure, since it may have run; queued ones
-        are refused. Where part of an answer has been written, nothing but its end may follow: the connection
-        is cut instead.
+        Where part of an answer has been written, nothing but its end may follow: the connection is cut.
         """
         if self._transport is None or self._ended:
             return
-        self._record("turned_away", status)
+        self._record("turned_away", rejection.status)
         if self._frontend.observer is not None:
-            self._frontend.observer.invalid_request_rejected(status)
+            self._frontend.observer.invalid_request_rejected(rejection.status)
         if self._stream is not None:
             self._cut_stream()
             return
-        refused = len(self._queued)
-        is_deferred = self._deferred_error != 0 and self._open_call is not None
+        # Not deferred, the open call is the rejected request itself, of which a part has been forwarded.
+        has_open_call = self._deferred is not None and self._open_call is not None
+        if has_open_call:
+            self._record("open_call_failed", "the answer to the request behind it is due")
+        answers = encode_last_answers(rejection, has_open_call, len(self._queued))
         self._ended = True
         self._withdraw_calls()
         self._parser.reset()
-        answers = [encode_answer(status, b"", b"", False)] if is_deferred else []
-        answers += [encode_answer(503, b"", b"", False)] * refused
-        self._send_last_answer(b"".join(answers) + encode_answer(status, b"", b"", True))
+        self._send_last_answer(answers)
 
     def _cut_stream(self) -> None:
         """End the connection within a streamed answer, whose client then detects that it is truncated."""
@@ -673,7 +681,7 @@
         for queued in self._queued:
             self._gate.queued_ids.discard(queued.request_id)
         self._queued.clear()
-        self._unparsed, self._deferred_error, self._upload_paused = b"", 0, False
+        self._unparsed, self._deferred, self._upload_paused = b"", None, False
         self._release_buffer()
         self._uploading, self._stream = None, None
         self._finished_uploads.clear()
@@ -711,7 +719,7 @@
 
     @property
     def busy(self) -> bool:
-        return self._has_calls or bool(self._unparsed) or self._deferred_error != 0
+        return self._has_calls or bool(self._unparsed) or self._deferred is not None
 
     @property
     def is_receiving(self) -> bool:
@@ -791,9 +799,8 @@
             self._gate.handler.upload_held_back(self._uploading, self._times.upload_written_since_s)
             if self._ended:
                 return
-        deferred_s = now_s - self._deferred_since_s if self._deferred_error else 0.0
-        if deferred_s > REQUEST_TIMEOUT_S and self._stream is None:
-            self._reject_now(self._deferred_error)
+        if self._deferred is not None and now_s > self._deferred.answer_by_s and self._stream is None:
+            self._reject_now(self._deferred)
             return
         waited_s = now_s - self.state_since_s
         unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
