Fail, and don't refuse, a request that was sent before an error in accepting it

Such errors are unexpected; a client would try again.

Change: _accept_or_refuse answers through _answer_now, which knows what was written. A refusal by the decisions of an unsafe request that may have run fails, too, with refusal_prevented in the log; no way to it is known.

On the sources before 2 of the 3 new tests failed (the third is the control for keyed requests); now all pass.

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -216,15 +216,14 @@
 
     def _answer_now(self, request: OpenRequest) -> None:
         """Answer a request without waiting for its attempts."""
-        written = any(a.exchange is not None and a.exchange.written for a in request.attempts.values())
-        may_have_run = request.may_have_run or written
+        may_have_run = request.may_have_run or request.is_fully_sent
         if self._claim_unanswered(request.id) is None:
             return
         self._reply(request, request.call.failed if may_have_run else partial(request.call.refused, 0.0))
-        self._observe_end(request, RequestResult.FAILED if may_have_run else RequestResult.REFUSED, None)
         self.dispatch(ClientDisconnected(request.id))
         for attempt in list(request.attempts.values()):
             self._give_up(attempt, Outcome.CANCELLED)
+        self._observe_end(request, RequestResult.FAILED if may_have_run else RequestResult.REFUSED, None)
 
     def _finish_without_balancer(self, request: OpenRequest) -> None:
         """Answer a request if none of its attempts can still bring an answer."""
@@ -251,11 +250,7 @@
             case SetTimer():
                 self._set_timer(action)
             case Refuse():
-                request = self._claim_unanswered(action.request_id)
-                if request is not None:
-                    call, retry_after_ms = request.call, action.retry_after_ms
-                    self._reply(request, lambda: call.refused(retry_after_ms))
-                    self._observe_end(request, RequestResult.REFUSED, action.reason)
+                self._refuse(action)
             case Fail():
                 request = self._claim_unanswered(action.request_id)
                 if request is not None:
@@ -274,6 +269,22 @@
                 if self.observer is not None:
                     self.observer.balancer_logged(action.text)
 
+    def _refuse(self, action: Refuse) -> None:
+        """Refuse a request. One that may have run, and must not run twice, fails instead."""
+        request = self._requests.get(action.request_id)
+        if request is None:
+            return
+        call, result = request.call, RequestResult.REFUSED
+        is_unsafe = not call.is_safe and not call.idempotency_key
+        if is_unsafe and (request.may_have_run or request.is_fully_sent):
+            result = RequestResult.FAILED
+            log.error("refusal_prevented request_id=%s", call.request_id.decode("latin-1"))
+        if self._claim_unanswered(request.id) is None:
+            return
+        refuse = partial(call.refused, action.retry_after_ms)
+        self._reply(request, refuse if result is RequestResult.REFUSED else call.failed)
+        self._observe_end(request, result, action.reason)
+
     def _observe_end(self, request: OpenRequest, final: RequestResult, reason: GiveUpReason | None) -> None:
         self._record(final.value, request.call.request_id, reason.name if reason is not None else "")
         if self.observer is not None:
@@ -361,14 +372,13 @@
             self._accept_or_refuse(call)
 
     def _accept_or_refuse(self, call: Call) -> None:
-        """Accept a call. If that raises an error the call is refused, and later calls are not affected."""
+        """Accept a call. If that raises an error the call is answered, and later calls are not affected."""
         if self.errors.run("take", partial(self._accept, call), call.request_id):
             return
         request = self._by_call.get(call)
-        if request is not None:
-            self._claim_unanswered(request.id)
-            self.dispatch(ClientDisconnected(request.id))
-        self.errors.run("take", partial(call.refused, 0.0), call.request_id)
+        # It may have been sent before the error.
+        answer = partial(call.refused, 0.0) if request is None else partial(self._answer_now, request)
+        self.errors.run("take", answer, call.request_id)
 
     def _accept(self, call: Call) -> None:
         if self.failed:
--- a/cloverrouter/proxy/open_requests.py
+++ b/cloverrouter/proxy/open_requests.py
@@ -79,3 +79,8 @@
         self.may_have_run = False  # a fully written attempt ended, not as one that never ran
         self.registered = False  # its id is in `Node.run_ids`
         self.attempt_results: list[AttemptResult] | None = None  # of its ended attempts, for an observer
+
+    @property
+    def is_fully_sent(self) -> bool:
+        """Whether the last byte of an attempt in flight has been written: its server may have run it."""
+        return any(a.exchange is not None and a.exchange.written for a in self.attempts.values())
--- a/tests/faults/test_containment.py
+++ b/tests/faults/test_containment.py
@@ -366,6 +366,51 @@
     run_scene(scene)
 
 
+# Guards against: a refusal for a request that was sent, and may have run, before an error in accepting it.
+def test_call_that_was_sent_before_an_error_fails_and_is_not_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(loop: Loop) -> None:
+        server = await Host("h0", never).start()
+        node = node_without_servers()
+        entry = HostEntry(ListedEndpoint("h0"), ("127.0.0.1", server.port))
+        node.listed(ListKind.RESTORED, HostList(1, True, (entry,)))
+        warm = call_named(b"warm")
+        node.call_received(warm)
+        await server.wait(lambda: len(server.seen) == 1)
+        server.respond = never
+        server.open[1].write(ok())
+        await until(lambda: warm.given)
+        await asyncio.sleep(0.02)  # the connection may be reused from now on
+        original_accept = node._accept
+
+        def accept(call: Any) -> None:
+            original_accept(call)
+            raise_error()
+
+        monkeypatch.setattr(node, "_accept", accept)
+        call = call_named(b"a")
+        node.call_received(call)
+        assert call.given == ["failed"]
+        assert not node.busy
+
+    run_scene(scene)
+
+
+# Guards against: decisions that refuse a request which must not run twice and may have run.
+@pytest.mark.parametrize(("key", "given"), [(b"", "failed"), (b"k", "refused")], ids=["unsafe", "keyed"])
+def test_refusal_of_a_request_that_may_have_run_is_a_failure(key: bytes, given: str) -> None:
+    async def scene(loop: Loop) -> None:
+        node = node_without_servers()
+        call = call_named(b"a")
+        call.idempotency_key = key
+        node.call_received(call)
+        request = node._by_call[call]
+        request.may_have_run = True
+        node._execute(Refuse(request.id, 0.0))
+        assert call.given == [given]
+
+    run_scene(scene)
+
+
 def test_call_is_refused_when_admission_raises() -> None:
     async def scene(loop: Loop) -> None:
         node = node_without_servers()
