With HTTP/1.1 as a fallback, a failed HTTP/3 connect is no evidence against the server

Cause: docs/http3.md has it that without a fallback the server counts as not there; with one, HTTP/1.1 is used for 5 s.

Change: with a fallback such an attempt ends as NOT_SENT, which is never run and no evidence, as its signal was already.

--- a/cloverrouter/http3/carrier.py
+++ b/cloverrouter/http3/carrier.py
@@ -272,7 +272,7 @@
                 exchange.on_open()
             if self.closed or self.draining:
                 exchange.connection = None
-                exchange.end(outcome_of(AttemptEnd.NOT_UP, False))
+                exchange.end(self._carrier.outcome_without_connection())
             elif self._loop.time() >= exchange.send_deadline_s or (
                 exchange.call.is_disconnected() or exchange.call.may_be_disconnected()
             ):
@@ -500,7 +500,7 @@
         queued, self._queued = self._queued, []
         for exchange in queued:
             exchange.signal, exchange.connection = self._carrier.failure_signal_of(self), None
-            exchange.end(outcome_of(AttemptEnd.NOT_UP, False))
+            exchange.end(self._carrier.outcome_without_connection())
         for exchange in list(self._active.values()):
             self._fail(exchange, AttemptEnd.CLOSED)
 
@@ -590,7 +590,7 @@
             exchange.end(Outcome.NOT_SENT)  # a local shortage, no evidence against the server
         elif connection.closed:
             exchange.signal = self.failure_signal_of(connection)
-            exchange.end(outcome_of(AttemptEnd.NOT_UP, False))
+            exchange.end(self.outcome_without_connection())
         else:
             connection.submit(exchange)
         return exchange
@@ -670,6 +670,14 @@
         fallback: UDP alone may be blocked on the path."""
         return None if self.availability.fallback else connection.failure_signal
 
+    def outcome_without_connection(self) -> Outcome:
+        """Return the outcome of an attempt whose connection could not be established.
+
+        With HTTP/1.1 as a fallback it says nothing about the server, whose score it must not lower: the next
+        attempt would come so late that HTTP/3 is tried again first, and fails again.
+        """
+        return Outcome.NOT_SENT if self.availability.fallback else outcome_of(AttemptEnd.NOT_UP, False)
+
     def remove(self, connection: ServerConnection, failed: bool) -> None:
         """Remove a connection that has ended; `failed`: it could not be established."""
         connections = self._connections.get(connection.host, set())
