Confirm the drains in the console's test of a terminal that stopped reading

Trace: the test's servers live in its own process. Where that is held up right before a drain, they are silent in truth, by the rule of the guard against draining the last server that works (no answer for five usual ones, divided by those in flight); the proxy itself was not paused.

The test is about frames on a slow line; it now drains as an operator who insists does (confirm). What it checks of the terminal is unchanged; the guard has tests of its own.

--- a/tests/console/test_terminal.py
+++ b/tests/console/test_terminal.py
@@ -146,11 +146,12 @@
                 await asyncio.sleep(1)
                 terminal.paused = True
                 for _ in range(8):
-                    await line.result("drain", server="s-1")
+                    # Confirmed: the servers live in this process, and are silent while it is held up.
+                    await line.result("drain", server="s-1", confirm="s-1")
                     await asyncio.sleep(0.5)
                     await line.result("restore", server="s-1")
                     await asyncio.sleep(0.5)
-                await line.result("drain", server="s-2")
+                await line.result("drain", server="s-2", confirm="s-2")
                 if answers:
                     # One window, independent of the duration.
                     assert terminal.backlog < LINE_BYTES_PER_S * 0.7
