--- a/tests/endings/test_released.py
+++ b/tests/endings/test_released.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -32,6 +31,7 @@
 from cloverrouter.proxy.open_requests import OpenAttempt, OpenRequest
 from cloverrouter.proxy.wake import Loop
 from tests.endings.test_gone import InProcessProxy, run_scene_with_cleanup, start_host
+from tests.standins.collector import alive, collector_disabled
 from tests.test_upstream import full_listener, until
 from tests.test_waking_front import connect
 
@@ -52,19 +52,9 @@
 
 @pytest.fixture(autouse=True)
 def without_collector(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
-    """Let nothing but reference counts free objects."""
     monkeypatch.setattr(server_pool, "REUSE_DELAY_S", 0.0)
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_disabled():
         yield
-    finally:
-        gc.enable()
-
-
-def parts_alive() -> list[str]:
-    """Return the kinds of all objects of requests and attempts that have not been freed."""
-    return sorted(type(found).__name__ for found in gc.get_objects() if isinstance(found, PARTS))
 
 
 def request(
@@ -154,7 +144,7 @@
         assert got.startswith(expected)
         await until(lambda: not proxy.node.busy and not proxy.node._requests)
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(*PARTS) == []
         client.close()
 
     run_scene_with_cleanup(scene)
@@ -180,7 +170,7 @@
         await loop.sock_sendall(client, request("r3") + request("r4"))  # two at once
         await read_some(loop, client, 2 * len(ok()))
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(*PARTS) == []
         client.close()
 
     run_scene_with_cleanup(scene)
@@ -207,7 +197,7 @@
         client.close()
         await until(lambda: not proxy.node.busy and not proxy.upstream._connecting)
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(*PARTS) == []
         listener.close()
 
     run_scene_with_cleanup(scene)
@@ -227,7 +217,7 @@
         assert b"503" in await read_some(loop, client)
         await until(lambda: not proxy.upstream._connecting)
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(*PARTS) == []
         client.close()
         listener.close()
 
@@ -253,6 +243,6 @@
         client.close()
         await until(lambda: not proxy.frontend.count)
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(*PARTS) == []
 
     run_scene_with_cleanup(scene)
--- a/tests/faults/test_answers_without_memory.py
+++ b/tests/faults/test_answers_without_memory.py
@@ -13,10 +13,10 @@
 
 import pytest
 
-from cloverrouter.lab.peers import Client, Discovery, Host, Proxy, Respond, Seen, running
+from cloverrouter.lab.peers import Discovery, Host, Proxy, Respond, Seen, running
+from tests.standins.answers import ReceivedAnswer, receive_answer, use_up_memory
 
 MEMORY_MB = 32  # a budget of 2 MiB for messages
-HOLDING_CLIENTS, HOLDING_BYTES = 60, 60_000  # bodies that come in part, and use up that budget
 ANSWER_BYTES, FIRST_BYTES = 60_000, 40_000
 PAUSE_S = 4.0  # of a server within its answer
 REQUESTS = 16  # at once: their answers do not fit into the reserve for undeclared ones either
@@ -57,43 +57,21 @@
     hosts = [await Host(f"h{i}", respond).start() for i in range(4)]
     limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 512}
     async with running(await Discovery().start(), hosts, more={"limits": limits}) as proxy:
-        holding = [await proxy.client() for _ in range(HOLDING_CLIENTS)]
-        for number, client in enumerate(holding):
-            head = f"X-Request-ID: hold{number}\r\nX-Timeout-Ms: 2500\r\nContent-Length: {HOLDING_BYTES}"
-            client.writer.write(f"POST /unsafe HTTP/1.1\r\nHost: b\r\n{head}\r\n\r\n".encode())
-            client.writer.write(bytes(HOLDING_BYTES - 1))
+        holding = await use_up_memory(proxy)
         await asyncio.sleep(0.2)
         yield proxy
         for client in holding:
             client.writer.transport.abort()
 
 
-async def end_of_answer(client: Client) -> tuple[str, int]:
-    """Read until the answer or its connection has ended; return its status and how much of a body came."""
-    try:
-        head = await client.reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return "none", 0
-    status, fields, count = head.split()[1].decode(), head.lower(), 0
-    with suppress(asyncio.IncompleteReadError, ConnectionError):
-        if b"content-length:" in fields:
-            length = int(fields.partition(b"content-length:")[2].split()[0])
-            return status, len(await client.reader.readexactly(length))
-        while b"chunked" in fields and (size := int(await client.reader.readuntil(b"\r\n"), 16)):
-            count += len(await client.reader.readexactly(size + 2)) - 2
-        return status, count
-    return "cut off", count
+async def ask_all(proxy: Proxy) -> list[ReceivedAnswer]:
+    """Send the requests at once."""
 
-
-async def ask_all(proxy: Proxy) -> list[tuple[str, int, float]]:
-    """Send the requests at once; return status, bytes and end in seconds after each request's time."""
-
-    async def ask() -> tuple[str, int, float]:
+    async def ask() -> ReceivedAnswer:
         client = await proxy.client()
         sent_s = time.monotonic()
         client.send("/unsafe", timeout_ms=TIMEOUT_MS)
-        status, count = await end_of_answer(client)
-        return status, count, time.monotonic() - sent_s - TIMEOUT_MS / 1000
+        return await receive_answer(client, sent_s)
 
     async with asyncio.timeout(30):
         return await asyncio.gather(*(ask() for _ in range(REQUESTS)))
@@ -104,9 +82,10 @@
 def test_short_answer_whose_server_pauses_is_ended_in_its_time_without_memory(framing: str) -> None:
     async def scene() -> None:
         async with proxy_without_memory(paused_answer(framing, PAUSE_S)) as proxy:
-            ends = await ask_all(proxy)
-            assert [end for end in ends if end[2] > LOST_AFTER_S] == []
-            assert {status for status, _, _ in ends} <= {"502", "503", "cut off"}
+            answers = await ask_all(proxy)
+            assert [one for one in answers if one.end_s > TIMEOUT_MS / 1000 + LOST_AFTER_S] == []
+            assert {one.status for one in answers} <= {200, 502, 503}
+            assert [one for one in answers if one.status == 200 and one.whole] == []
             # Only one that is declared short may begin before it is known which it is.
             await asyncio.sleep(1.2)  # the line of the second in which they began
             assert ("answers_begun_short=" in proxy.log()) is (framing == "length")
@@ -120,8 +99,8 @@
 def test_short_answer_that_comes_at_once_is_served_in_its_time_without_memory(framing: str) -> None:
     async def scene() -> None:
         async with proxy_without_memory(paused_answer(framing, 0.02)) as proxy:
-            ends = await ask_all(proxy)
-            assert [end[:2] for end in ends] == [("200", ANSWER_BYTES)] * REQUESTS
-            assert max(end[2] for end in ends) < 0
+            answers = await ask_all(proxy)
+            assert [one[:2] for one in answers] == [(200, ANSWER_BYTES)] * REQUESTS
+            assert max(one.end_s for one in answers) < TIMEOUT_MS / 1000
 
     asyncio.run(scene())
--- a/tests/http3/test_released.py
+++ b/tests/http3/test_released.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 from collections.abc import Iterator
 
 import pytest
@@ -17,6 +16,7 @@
 from cloverrouter.proxy.messages import Answer, AnswerSink, Upload
 from tests.http3.scenes import until
 from tests.http3.test_carrier import Scene, Sink, StubCall, in_scene
+from tests.standins.collector import alive, collector_disabled
 
 LONG_ANSWER_BYTES = 100_000
 INTERNAL_ERROR = 0x102
@@ -25,13 +25,8 @@
 
 @pytest.fixture(autouse=True)
 def without_collector() -> Iterator[None]:
-    """Let nothing but reference counts free objects."""
-    gc.collect()
-    gc.disable()
-    try:
+    with collector_disabled():
         yield
-    finally:
-        gc.enable()
 
 
 class Owner:
@@ -50,11 +45,6 @@
         Owner.ended += 1
 
 
-def parts_alive() -> list[str]:
-    kinds = Owner, Exchange, Upload
-    return [type(found).__name__ for found in gc.get_objects() if isinstance(found, kinds)]
-
-
 def long_answer(asked: ServerRequest) -> None:
     asked.head(200)
     asked.data(bytes(LONG_ANSWER_BYTES), end=True)
@@ -87,7 +77,7 @@
             await until(lambda: Owner.ended > 0)
         owners.clear()
         await asyncio.sleep(SETTLE_S)
-        assert parts_alive() == []
+        assert alive(Owner, Exchange, Upload) == []
 
     Owner.ended = 0
     scene(tmp_path_factory.mktemp("scene"))
