--- a/tests/http3/test_servers.py
+++ b/tests/http3/test_servers.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from cloverrouter.lab.certificates import Authority
 from cloverrouter.lab.peers import LONG_S, Discovery, Host, Listable, Proxy, running
 from cloverrouter.lab.quic import QuicHost, Respond, ServerRequest, done, silent
+from tests.standins.answers import receive_answer
 from tests.standins.appliance import ApplianceFixture
 
 SITE = """
@@ -169,6 +171,55 @@
     asyncio.run(run())
 
 
+PAUSED_TIMEOUT_S, LOST_AFTER_S = 0.7, 0.5
+
+
+def paused_answer(last_at_s: float, rest_bytes: int) -> Respond:
+    """Answer with 20 kB, 10 kB at `last_at_s`, and the rest 2 s later; the length is not declared."""
+
+    def respond(asked: ServerRequest) -> None:
+        def end() -> None:
+            with suppress(Exception):  # the proxy may have given the answer up
+                asked.data(bytes(rest_bytes), True)
+
+        loop = asyncio.get_running_loop()
+        asked.head(200)
+        asked.data(bytes(20_000))
+        loop.call_later(last_at_s, asked.data, bytes(10_000))
+        loop.call_later(last_at_s + 2.0, end)
+
+    return respond
+
+
+# Guards against: a long answer over HTTP/3 is cut off while its server pauses and then goes on.
+def test_long_answer_whose_server_pauses_is_not_cut_off(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with scene(tmp_path, respond=paused_answer(0.65, 270_000)) as s:
+            client = await s.proxy.client()
+            sent_s = time.monotonic()
+            client.send("/unsafe", timeout_ms=int(PAUSED_TIMEOUT_S * 1000))
+            answer = await receive_answer(client, sent_s)
+            assert answer.first_s < PAUSED_TIMEOUT_S + LOST_AFTER_S
+            assert answer.status == 502 or answer[:2] == (200, 300_000)
+
+    asyncio.run(run())
+
+
+# Guards against: an answer over HTTP/3 that stopped before its time is over is begun, and then has no end.
+@pytest.mark.parametrize("rest_bytes", [10_000, 270_000], ids=["short", "long"])
+def test_answer_that_stopped_before_its_time_fails_in_time(rest_bytes: int, tmp_path: Path) -> None:
+    async def run() -> None:
+        async with scene(tmp_path, respond=paused_answer(0.1, rest_bytes)) as s:
+            client = await s.proxy.client()
+            sent_s = time.monotonic()
+            client.send("/unsafe", timeout_ms=int(PAUSED_TIMEOUT_S * 1000))
+            answer = await receive_answer(client, sent_s)
+            assert answer.status == 502
+            assert answer.end_s < PAUSED_TIMEOUT_S + LOST_AFTER_S
+
+    asyncio.run(run())
+
+
 def test_drained_server_finishes_requests_and_gets_no_new_ones(tmp_path: Path) -> None:
     async def run() -> None:
         async with scene(tmp_path, hosts=2, respond=silent) as s:
