Start no send timer for an attempt that has ended as it was started

The attempt, its request and body stayed up to the class's window, and then in a cycle.

tests/endings/test_released.py::test_attempt_that_ends_at_once_is_freed: 1 failed without the condition, with it the file passes (32).

--- a/cloverrouter/proxy/node.py
+++ b/cloverrouter/proxy/node.py
@@ -547,7 +547,9 @@
             if action.new_connection
             else None,
         )
-        if action.begin_within_ms < timeout_ms and not attempt.exchange.written:
+        # It may have ended already: then a timer would hold it, and the request with its body.
+        is_open = attempt.number in request.attempts
+        if is_open and action.begin_within_ms < timeout_ms and not attempt.exchange.written:
             attempt.send_timer = self._loop.call_later(
                 action.begin_within_ms / 1000, self._give_up_if_unsent, attempt
             )
--- a/tests/endings/test_released.py
+++ b/tests/endings/test_released.py
@@ -19,6 +19,7 @@
     ListedEndpoint,
     ListKind,
     RequestClass,
+    Send,
     Settings,
 )
 from cloverrouter.lab.peers import Respond, Seen, answer_ok, never, ok, raw, reset
@@ -224,6 +225,25 @@
     run_scene_with_cleanup(scene)
 
 
+# Guards against: an attempt that ends as it is started is kept by the timer of the time to send it.
+def test_attempt_that_ends_at_once_is_freed() -> None:
+    async def scene(loop: Loop) -> None:
+        proxy = await proxy_with(never)
+        proxy.upstream.set_max_open(0)  # no socket for it: it ends within `Carrier.send`
+        client = connect(await proxy.listen(), request("r0", "/keyed"))
+        client.setblocking(False)
+        await until(lambda: proxy.node._requests)
+        request_id = next(iter(proxy.node._requests))
+        proxy.node._execute(Send(request_id, "h0", LONG_MS, begin_within_ms=LONG_MS / 2))
+        proxy.node.answer_all_now()
+        await read_some(loop, client)
+        await asyncio.sleep(SETTLE_S)
+        assert alive(*PARTS) == []
+        client.close()
+
+    run_scene_with_cleanup(scene)
+
+
 # Guards against: what a shutdown gives up is kept by its timers and callbacks.
 @pytest.mark.parametrize("respond", [never, raw(LONG_HEAD + bytes(1000))], ids=["unanswered", "streamed"])
 @pytest.mark.parametrize(
